SIGHUP reads the configuration again and moves to the discovery it names

At fault: Dispatcher.run set handlers for SIGTERM and SIGINT alone.

Now: the file is read again (the file's discovery entry goes before the environment, which is that of the start); a new watch asks the new address for its whole list, and the old one is heard until that has come, then ended. A file that can't be used changes nothing and is one log line; what needs a restart is named in the log.

The test starts the program, moves it between two stand-ins of discovery under a running job and fails without the handler.

--- a/grebestack/__main__.py
+++ b/grebestack/__main__.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sqlite3
 import sys
 
 from grebestack.program import console, log
-from grebestack.program.config import ConfigError, from_file, from_platform
+from grebestack.program.config import Config, ConfigError, from_file, from_platform
 from grebestack.program.dispatcher import run
 
 
@@ -20,13 +21,19 @@
     parser.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
     options = parser.parse_args()
     log.set_up(options.log_level)
+
+    def reread() -> Config:
+        # The environment is that of the start: of a file that was replaced, discovery's new address counts.
+        environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
+        return from_file(options.config) if options.config else from_platform(environ)
+
     try:
         config = from_file(options.config) if options.config else from_platform()
     except ConfigError as error:
         print(f"grebestack: {error}", file=sys.stderr)
         return 2
     try:
-        run(config)
+        run(config, reread)
     except (OSError, sqlite3.Error) as error:
         print(f"grebestack: {error}", file=sys.stderr)
         return 1
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -9,11 +9,12 @@
 import sqlite3
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import uvloop
 
 from grebestack.core.interface import ListKind
-from grebestack.program.config import Config, DrmaaConfig
+from grebestack.program.config import Config, ConfigError, DrmaaConfig
 from grebestack.protocol.console import Console
 from grebestack.protocol.consul import ConsulWatch
 from grebestack.protocol.discovery import ListReader, Watch
@@ -53,8 +54,11 @@
 class Dispatcher:
     """One dispatcher of the platform."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.config, self.loop = config, loop
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, reread: Callable[[], Config]
+    ) -> None:
+        self.config, self.loop, self.reread = config, loop, reread
+        self.reader = ListReader(config.options)
         self.table = ServerTable()
         self.engine = Engine(config.settings, config.seed, LoopClock(loop), self.table)
         limits = config.options.get("limits") or {}
@@ -71,25 +75,24 @@
         self.front = PlatformFront(self.engine, config.settings, self.runners.called_back, config.platform)
         fronts = 1 if config.drmaa is None else 2
         self.acceptor = Acceptor(self.front, clients // fronts)
-        self.watch = self._source()
+        self.watch = self._source(config)
         self.drmaa: DrmaaFront | None = None
-        self.stopping = False
+        self.stopping = self.stopped = False
         self.done: asyncio.Future[None] = loop.create_future()
 
-    def _source(self) -> Watch | ConsulWatch | None:
-        config, reader = self.config, ListReader(self.config.options)
+    def _source(self, config: Config, follows: Watch | None = None) -> Watch | ConsulWatch | None:
         if config.servers.source == "consul":
             pools = Pools(self.loop, 2, 2.0, 60.0, most_body=8 * 1024 * 1024)
             clock, source = self.engine.clock, config.servers
             return ConsulWatch(
-                pools, clock, config.discovery, source.service, source.token, config.options, self.table,
+                pools, clock, config.discovery, source.service, source.token, self.config.options, self.table,
                 source.wait_s,
             )
         if config.servers.source == "list":
-            servers = [reader.server(raw) for raw in config.servers.entries]
+            servers = [self.reader.server(raw) for raw in config.servers.entries]
             self.loop.call_soon(self.table.update, ListKind.FULL, servers)
             return None
-        return Watch(self.loop, config.discovery, reader, self.table)
+        return Watch(self.loop, config.discovery, self.reader, self.table, follows)
 
     def _forget(self, store: JobStore, keep_days: float) -> None:
         """Guards the operator's disk: an appliance runs for months."""
@@ -117,6 +120,7 @@
         """Serve until SIGTERM or SIGINT and until all is answered then."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.known and isinstance(self.watch, Watch):
             self.watch.known(self.config.known)
         if self.watch is not None:
@@ -131,6 +135,7 @@
         gc.collect()
         gc.freeze()
         await self.done
+        self.stopped = True
         server.close()
         if self.watch is not None:
             self.watch.stop()
@@ -156,6 +161,31 @@
         log.info("stats", extra={"kv": kv})
         self.loop.call_later(STATS_S, self._stats)
 
+    def reload(self) -> None:
+        """Read the configuration again and move to the server source that it names; sessions go on.
+
+        Whatever else has changed waits for a restart, and a file that can't be used changes nothing.
+        """
+        try:
+            config = self.reread()
+        except ConfigError as error:
+            log.error("reload_failed", extra={"kv": {"error": error}})
+            return
+        fixed = ("name", "listen", "options", "sockets", "drmaa", "platform")
+        waits = ",".join(name for name in fixed if getattr(config, name) != getattr(self.config, name))
+        moved = (config.discovery, config.servers) != (self.config.discovery, self.config.servers)
+        address = ":".join(map(str, config.discovery))
+        log.info("reloaded", extra={"kv": {"servers": address, "moved": moved, "waits_for_restart": waits}})
+        if not moved or self.stopped:
+            return
+        former = self.watch
+        if former is not None:
+            former.retire()
+        self.config = replace(self.config, discovery=config.discovery, servers=config.servers)
+        self.watch = self._source(self.config, former if isinstance(former, Watch) else None)
+        if self.watch is not None:
+            self.watch.start()
+
     def stop(self) -> None:
         """Not ready any more; what still comes is served, and the end follows when all is answered."""
         if self.stopping:
@@ -177,10 +207,10 @@
             self.loop.call_later(0.05, self.done.set_result, None)  # the last answers leave
 
 
-def run(config: Config) -> None:
-    """Run one dispatcher on uvloop."""
+def run(config: Config, reread: Callable[[], Config]) -> None:
+    """Run one dispatcher on uvloop; `reread` reads its configuration again."""
 
     async def main() -> None:
-        await Dispatcher(config, asyncio.get_running_loop()).run()
+        await Dispatcher(config, asyncio.get_running_loop(), reread).run()
 
     uvloop.run(main())
--- a/grebestack/protocol/consul.py
+++ b/grebestack/protocol/consul.py
@@ -114,6 +114,10 @@
         """Send the first query."""
         self._ask()
 
+    def retire(self) -> None:
+        """Another watch follows; the table stays as it is until that one has its first answer."""
+        self.stop()
+
     def stop(self) -> None:
         """Ask no more."""
         self.stopped = True
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -66,10 +66,12 @@
     """Keeps one watch open, and opens the next when it ends or falls silent."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, address: Address, reader: ListReader, table: ServerTable
+        self, loop: asyncio.AbstractEventLoop, address: Address, reader: ListReader, table: ServerTable,
+        follows: Watch | None = None,
     ) -> None:
         self.loop, self.address, self.reader, self.table = loop, address, reader, table
-        self.version = 0
+        self.follows = follows  # the watch of another address, ended once this one has told its list
+        self.version = 0  # an address counts its own versions: the first question asks for the whole list
         self.stream: LineStream | None = None
         self.stopped = False
         self.task: asyncio.Task[None] | None = None
@@ -85,9 +87,16 @@
         if not self.stopped:
             self.task = self.loop.create_task(self._open())
 
+    def retire(self) -> None:
+        """Hear on what is open, but open nothing more: another watch follows."""
+        self.stopped = True
+
     def stop(self) -> None:
         """Watch no longer."""
         self.stopped = True
+        if self.follows is not None:
+            self.follows.stop()
+            self.follows = None
         if self.watchdog is not None:
             self.watchdog.cancel()
         if self.stream is not None:
@@ -108,7 +117,10 @@
                 self._ended()
             return
         self.stream = stream
-        self._heard()
+        if self.stopped:  # retired or stopped while the connection came up
+            stream.close()
+        else:
+            self._heard()
 
     def _heard(self) -> None:
         if self.watchdog is not None:
@@ -139,4 +151,8 @@
             log.warning("bad_list_line", extra={"kv": {"error": repr(error)}})
             return
         self.version = version
+        if self.follows is not None:
+            # Guards against a gap on a move, and against an old address that speaks after the new one.
+            self.follows.stop()
+            self.follows = None
         self.table.update(ListKind.FULL if whole else ListKind.CHANGES, servers)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,9 +8,10 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
-from tests.standins import World, call, wait_until
+from tests.standins import Discovery, World, call, wait_until
 
 
 def test_a_job_goes_to_a_runner_and_its_result_comes_back(world: World) -> None:
@@ -135,3 +136,39 @@
     world.discovery.mute = False
     world.runner("s-1")
     assert call(front, "POST", "/api", b"", {"X-Call-Id": "j1", "X-Call-Class": "order"})[0] == 200
+
+
+def test_sighup_moves_to_the_discovery_that_the_file_now_names_and_loses_no_session(world: World) -> None:
+    # Guards against ending on SIGHUP, and against a move during which jobs are lost.
+    runner = world.runner("s-1", seconds=0.6)
+    front = world.start()
+    job = {"X-Call-Id": "k1", "X-Call-Class": "order"}
+    pending = world.in_background(lambda: call(front, "POST", "/api", b"", job))
+    wait_until(lambda: bool(runner.jobs))
+    path = world.folder / "config.json"
+    config = json.loads(path.read_text())
+    path.write_text("{ not whole")
+    world.process.send_signal(signal.SIGHUP)  # a file that can't be read changes nothing
+    old, new = world.discovery, Discovery(world)
+    new.rev = old.rev + 1
+    path.write_text(json.dumps(config | {"discovery": f"127.0.0.1:{new.address[1]}"}))
+
+    def moved() -> bool:
+        world.process.send_signal(signal.SIGHUP)
+        time.sleep(0.1)
+        return new.watches > 0
+
+    wait_until(moved)
+    assert pending()[0] == 200
+    old.mute = True
+    runner.state = "Terminating"
+    other = world.runner("s-2")
+    new.rev += 1
+    wait_until(lambda: new.told == new.rev)
+    assert call(front, "POST", "/api", b"", {"X-Call-Id": "k2", "X-Call-Class": "order"})[0] == 200
+    assert (len(runner.jobs), len(other.jobs)) == (1, 1)
+    watches = old.watches
+    world.process.send_signal(signal.SIGHUP)  # the file names the address in use: nothing is opened anew
+    assert call(front, "POST", "/api", b"", {"X-Call-Id": "k3", "X-Call-Class": "order"})[0] == 200
+    assert (new.watches, old.watches) == (1, watches)
+    new.close()
