One broken connection is no crash; a cold worker's budget counts reported slots

The log shows one connection_broke on each of the nine runners within 4 s, and after that ten dispatches in 5 s. Ruled out: runners (nine errors), the socket budget (188 of 384 held), CPU. At fault: Policy._ended took any reset for a crash, so the next good end (Policy._went_well) made the worker cold for its whole warming of 24 s; and a cold worker's budget (_cold_wait) counted one slot, since kind_slots was learned only where workers tell of starts.

Now two breaks with no good end between them mean a crash, and only a job sent after them shows that it is back; kind_slots is learned from reports of free slots.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from grebestack.core import interface as api
 from grebestack.core import state
@@ -25,6 +25,7 @@
 RING_STEP = 0.618034  # golden ratio: any run of dispatcher numbers spreads evenly over the ring
 REPORT_LAG_MS = 300.0  # a load report shows a worker as it was about so long before it came
 REPORT_KEEP_MS = 500.0  # what a report shows of the other dispatchers' jobs fades within this
+CRASH_BREAKS = 2  # so many broken connections without one good end between them mean a crash
 SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
 
 
@@ -147,7 +148,7 @@
             self._drain_held()
 
     def _restarted(self, view: WorkerView, since_ms: float | None) -> None:
-        view.ceiling, view.strikes, view.full_until, view.crashed, view.free = 1.0, 0, 0.0, False, {}
+        view.ceiling, view.strikes, view.full_until, view.breaks, view.free = 1.0, 0, 0.0, 0, {}
         view.warm_at = 0.0 if since_ms is None else since_ms + self.settings.warm_within_ms
         if view.warm_at > self.now:
             self._cold_wait(view, 1.0, sum(self.learned.run_ms) / len(self.learned.run_ms))
@@ -459,9 +460,11 @@
         if event.outcome is Outcome.OK:
             self._went_well(view, request, attempt, full)
         elif event.outcome in (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT):
-            view.crashed = view.crashed or event.outcome is Outcome.RESET
+            if event.outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+                view.breaks += 1
+                view.broke_ms = self.now if view.breaks == 1 else view.broke_ms
             self._strike(view, view.used, max(self.settings.connect_timeout_ms, run_ms / 2))
-        view.note_report(event.report, self.settings.report_fields, self.now, REPORT_LAG_MS)
+        self._reported(view, event.report)
         if event.closed or request.closed:
             self._close(request)
         elif not request.out():
@@ -475,9 +478,11 @@
         index = request.level[0]
         ran_ms = self.now - (attempt.started_ms or attempt.sent_ms)
         self.learned.ran(index, ran_ms)
-        if view.crashed:  # guards against pushing over a worker that came back before the list says so
+        # Guards against pushing over a worker that came back before the list says so. A break of a connection
+        # under one that works on must not make it count as cold.
+        if view.breaks >= CRASH_BREAKS and attempt.sent_ms >= view.broke_ms:
             self._restarted(view, self.now)
-        view.strikes = 0
+        view.strikes = view.breaks = 0
         in_time = self.now - request.arrived_ms <= self._slack(request) + ran_ms
         if full and in_time and view.unstarted == 0 and self.now >= view.raise_after:
             view.ceiling += 1.0
@@ -486,4 +491,9 @@
     def _probed(self, event: api.ProbeEnded) -> None:
         view = self.workers.get(event.worker)
         if view is not None:
-            view.note_report(event.report, self.settings.report_fields, self.now, REPORT_LAG_MS)
+            self._reported(view, event.report)
+
+    def _reported(self, view: WorkerView, report: Mapping[str, float]) -> None:
+        view.note_report(report, self.settings.report_fields, self.now, REPORT_LAG_MS)
+        if "free_slots" in view.free:  # guards a cold worker's budget from counting a single slot for ever
+            self.learned.in_work(view.entry.kind, view.seen_free)
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -43,7 +43,7 @@
         self.run_ms = list(aims_ms)  # running time by class; the aim is the first guess
         self.slots = [1.0] * len(aims_ms)  # slots by class
         self.worth = 1.0  # of a request
-        self.kind_slots: dict[int, float] = {}  # most slots seen in work at once on one worker of a kind
+        self.kind_slots: dict[int, float] = {}  # most slots seen at once on one worker of a kind
         self.start_ms = {True: tick_ms, False: tick_ms}  # a prompt start, in the own zone or another
 
     def arrival(self, index: int, slots: float, worth: float) -> None:
@@ -66,7 +66,7 @@
         self.start_ms[own_zone] = max(self.tick_ms, known * step)
 
     def in_work(self, kind: int, slots: float) -> None:
-        """So many slots are in work at once on one worker."""
+        """So many slots are in work, or reported free, at once on one worker."""
         self.kind_slots[kind] = max(self.kind_slots.get(kind, 1.0), slots)
 
 
@@ -86,7 +86,8 @@
     raise_after: float = 0.0
     full_until: float = 0.0  # a start was overdue or failed: no trial before this
     strikes: int = 0  # such failures in a row
-    crashed: bool = False  # connections broke and no job has ended well since
+    breaks: int = 0  # connections that broke or never came up, since a job ended well
+    broke_ms: float = 0.0  # the first of them
     warm_at: float = 0.0
     cold_next: float = 0.0  # while cold: no send before this
     free: Mapping[str, float] = field(default_factory=dict)  # the last report
