Leave out workers that fail a class or hang, and go easy on sluggish ones

At fault: Policy._ended did nothing on an error, so a worker that fails fast always had free slots; nothing measured how long jobs take on one worker against the others.

Now each worker has a share of errors by class and a pace, jobs that are out included; both are measured against the middle worker, so trouble everywhere leaves nobody out.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -26,6 +26,12 @@
 REPORT_LAG_MS = 300.0  # a load report shows a worker as it was about so long before it came
 REPORT_KEEP_MS = 500.0  # what a report shows of the other dispatchers' jobs fades within this
 CRASH_BREAKS = 2  # so many broken connections without one good end between them mean a crash
+PACE_SHARE = 0.2  # of each job in its worker's pace
+PACE_MOST = 4.0  # a job counts no slower than this: one that is heavy says little of its worker
+SLUGGISH = 1.5  # a worker this much slower than is typical comes later and gets fewer jobs
+SLOW = 2.5  # and one this much slower only trials
+ERROR_SHARE = 0.3  # of each error in its worker's share of them
+FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
 
 
@@ -90,6 +96,7 @@
         self.actions: list[api.Action] = []
         self.agenda = state.Agenda()
         self.list_failures = 0
+        self.typical_pace, self.typical_errors = 1.0, [0.0] * len(settings.classes)
         self.scanning = self.begun = False
         self.rules: dict[str, Callable[[WorkerView, Request, float | None], bool]] = {
             "max_concurrent_invocations": self._concurrency_reached,
@@ -149,6 +156,7 @@
 
     def _restarted(self, view: WorkerView, since_ms: float | None) -> None:
         view.ceiling, view.strikes, view.full_until, view.breaks, view.free = 1.0, 0, 0.0, 0, {}
+        view.pace, view.failing, view.trials = 1.0, {}, 0
         view.warm_at = 0.0 if since_ms is None else since_ms + self.settings.warm_within_ms
         if view.warm_at > self.now:
             self._cold_wait(view, 1.0, sum(self.learned.run_ms) / len(self.learned.run_ms))
@@ -165,8 +173,13 @@
 
     def _rerank(self) -> None:
         self.agenda.add(self.now + RANK_MS, self._rerank)
-        if any(view.warm_at > self.now - RANK_MS for view in self.workers.values()):
-            self.orders.clear()  # some worker may have become warm
+        self.orders.clear()  # some worker may have become warm, or sluggish
+        for view in self.workers.values():
+            view.age(self.now, PACE_MOST)
+        ready = [view for view in self.workers.values() if view.ready]
+        self.typical_pace = max(1.0, state.middle(view.pace for view in ready))
+        for index in range(len(self.typical_errors)):
+            self.typical_errors[index] = state.middle(view.failing.get(index, 0.0) for view in ready)
         self.held.levels.sort(key=lambda level: (-self._density(level), level))
         self.workers = {name: view for name, view in self.workers.items() if view.ready or view.jobs}
 
@@ -189,7 +202,9 @@
                 order.sort(key=lambda v: (v.spot, v.entry.worker))
                 if block.strategy == "best_first":
                     apart = {v: abs(i / len(order) - self.ring) for i, v in enumerate(order)}
-                    order.sort(key=lambda v: (v.warm_at > self.now, min(apart[v], 1.0 - apart[v])))
+                    order.sort(key=lambda v: (
+                        v.warm_at > self.now, self._slower(v, SLUGGISH), min(apart[v], 1.0 - apart[v])
+                    ))
             self.orders[key] = order
         return order
 
@@ -198,12 +213,26 @@
     def _unreachable(self, view: WorkerView, request: Request) -> bool:
         if view.warm_at > self.now and self.now < view.cold_next:
             return True
+        if self._ill(view, request.level[0]) and self.now < view.trial_at.get(request.level[0], 0.0):
+            return True
         # Guards against a hung head: what may still run frees no room; one job is the trial after the
         # back-off, and one that could not be moved away again waits for longer.
         wait = 0.0 if self._movable(request) else self.learned.run_ms[request.level[0]]
         trial = view.jobs == 0 and self.now >= view.full_until + wait
         return view.strikes > 0 and view.used >= view.ceiling and not trial
 
+    def _slower(self, view: WorkerView, times: float) -> bool:
+        return view.pace > times * self.typical_pace
+
+    def _ill(self, view: WorkerView, index: int) -> bool:
+        """Whether a worker is far slower than its peers or fails a class that they don't fail.
+
+        Guards against a worker that fails fast, or whose jobs come too late: it has free slots all the time
+        and would draw most of the work. It gets single trials, further and further apart.
+        """
+        most = FAILING + 1.5 * self.typical_errors[index]
+        return self._slower(view, SLOW) or view.failing.get(index, 0.0) > most
+
     def _concurrency_reached(self, view: WorkerView, request: Request, limit: float | None) -> bool:
         if view.jobs == 0:
             return self.now < view.full_until
@@ -214,7 +243,12 @@
         if "free_slots" not in view.free:
             return self._concurrency_reached(view, request, None)
         taken, _ = view.taken(self.now, REPORT_KEEP_MS)
-        return taken + request.asked.slots > (share or 1.0) * view.seen_free
+        return taken + request.asked.slots > (share or 1.0) * self._slots(view)
+
+    def _slots(self, view: WorkerView) -> float:
+        """Fewer than it shows where it is sluggish: a neighbour has taken some of its cores."""
+        fewer = view.pace / (SLUGGISH * self.typical_pace) if view.jobs else 1.0
+        return view.seen_free / max(1.0, fewer)
 
     def _overloaded(self, view: WorkerView, request: Request, slots: float | None) -> bool:
         if self.settings.tells_start:
@@ -223,7 +257,7 @@
             return self._concurrency_reached(view, request, slots)
         taken, memory = view.taken(self.now, REPORT_KEEP_MS)
         short_of_memory = "free_memory" in view.free and view.seen_memory - memory < request.asked.memory
-        return view.seen_free - taken < request.asked.slots or short_of_memory
+        return self._slots(view) - taken < request.asked.slots or short_of_memory
 
     # Selection: the blocks from the top, then the followup.
 
@@ -310,12 +344,16 @@
     def _send(self, request: Request, view: WorkerView) -> None:
         for attempt in request.out():
             self._cancel(request, attempt)
-        attempt = Attempt(view, self.now, request.asked.slots, request.asked.memory)
+        index, run_ms = request.level[0], self.learned.run_ms[request.level[0]]
+        attempt = Attempt(view, self.now, request.asked.slots, request.asked.memory, run_ms)
+        if self._ill(view, index):
+            view.trial_at[index] = self.now + self._jitter(2 * run_ms, view.trials)
+            view.trials += 1
         request.attempts.append(attempt)
         request.held = False
         view.count(request.asked, 1)
         if view.warm_at > self.now:
-            self._cold_wait(view, request.asked.slots, self.learned.run_ms[request.level[0]])
+            self._cold_wait(view, request.asked.slots, run_ms)
         view.out.append(attempt)
         if self.settings.tells_start:
             view.unstarted += 1
@@ -453,6 +491,8 @@
             return
         attempt.outcome = event.outcome
         view, run_ms = attempt.worker, self.learned.run_ms[request.level[0]]
+        if event.outcome in (Outcome.OK, Outcome.ERROR):
+            view.erred(request.level[0], ERROR_SHARE if event.outcome is Outcome.ERROR else 0.0)
         full = view.used >= view.ceiling
         view.count(request.asked, -1)
         if attempt.started_ms is None:
@@ -478,6 +518,8 @@
         index = request.level[0]
         ran_ms = self.now - (attempt.started_ms or attempt.sent_ms)
         self.learned.ran(index, ran_ms)
+        view.ran(min(PACE_MOST, ran_ms / attempt.expected_ms), PACE_SHARE)
+        view.trials = view.trials if self._ill(view, index) else 0
         # Guards against pushing over a worker that came back before the list says so. A break of a connection
         # under one that works on must not make it count as cold.
         if view.breaks >= CRASH_BREAKS and attempt.sent_ms >= view.broke_ms:
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from itertools import islice
@@ -88,6 +88,10 @@
     strikes: int = 0  # such failures in a row
     breaks: int = 0  # connections that broke or never came up, since a job ended well
     broke_ms: float = 0.0  # the first of them
+    pace: float = 1.0  # how long jobs take here, against what their class takes everywhere
+    failing: dict[int, float] = field(default_factory=dict)  # by class: the share of errors lately
+    trial_at: dict[int, float] = field(default_factory=dict)  # by class: no trial of an ill worker before
+    trials: int = 0  # such trials in a row
     warm_at: float = 0.0
     cold_next: float = 0.0  # while cold: no send before this
     free: Mapping[str, float] = field(default_factory=dict)  # the last report
@@ -113,6 +117,21 @@
         self.entry, self.ready = entry, entry.state is WorkerState.READY
         return was != (self.ready, entry.started_ms)
 
+    def ran(self, ratio: float, share: float) -> None:
+        """A job ended well and took so many times as long as its class takes."""
+        self.pace += share * (ratio - self.pace)
+
+    def age(self, now: float, most: float) -> None:
+        """Count those that are out as well: on a worker that hangs none ends, and none would be counted."""
+        ratios = sorted((now - a.sent_ms) / a.expected_ms for a in self.out if a.outcome is None)
+        if len(ratios) > 1:
+            self.pace = max(self.pace, min(most, ratios[len(ratios) // 2]))
+
+    def erred(self, index: int, share: float) -> None:
+        """A job of a class ended well (0) or in an error."""
+        known = self.failing.get(index, 0.0)
+        self.failing[index] = known + share * (1.0 - known) if share else known / 2
+
     def note_report(
         self, report: Mapping[str, float], fields: frozenset[str], now: float, lag_ms: float
     ) -> None:
@@ -149,6 +168,7 @@
     sent_ms: float
     slots: float = 1.0
     memory: float = 0.0
+    expected_ms: float = 1.0  # what its class takes
     started_ms: float | None = None
     outcome: Outcome | None = None
     cancelled: bool = False
@@ -208,6 +228,12 @@
         self.refuses = [tag.followup == "fail" and tag is not default for tag in tags]
 
 
+def middle(values: Iterable[float]) -> float:
+    """The lower median; 0 of nothing."""
+    ordered = sorted(values) or [0.0]
+    return ordered[(len(ordered) - 1) // 2]
+
+
 def members(
     workers: Mapping[str, WorkerView], block: Block, kind: int, zone: int | None, cell: int | None
 ) -> list[WorkerView]:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -220,3 +220,64 @@
     for n in range(3000):
         d.policy.learned.start(True, 5.0 if n % 3 == 0 else 400.0)
     assert d.policy.learned.start_ms[True] < 10.0
+
+
+def reporting(workers: int = 2) -> Dispatcher:
+    """A dispatcher whose workers report eight free slots each; all in one block."""
+    d = Dispatcher(settings(report_fields=frozenset({"free_slots"}), tells_start=False), workers=workers)
+    for n in range(workers):
+        d.feed(api.ProbeEnded(f"w{n}", api.Outcome.OK, 1.0, {"free_slots": 8.0}))
+    return d
+
+
+def test_a_worker_that_fails_a_class_gets_trials_of_it_only() -> None:
+    # Guards against a worker that fails fast: it has free slots all the time and would draw most of the work.
+    d, sent, well = reporting(), list[str](), True
+    for _ in range(40):
+        request, done = d.ask(ORDER)
+        (worker,) = sends(done)
+        sent.append(worker)
+        ill = worker == sent[0]
+        d.end(request, worker, api.Outcome.ERROR if ill else api.Outcome.OK, closed=True)
+        d.wait(50)
+    assert sent.count(sent[0]) <= 6
+    for _ in range(200):  # it is well again: the trials show it
+        request, done = d.ask(ORDER)
+        (worker,) = sends(done)
+        well = worker == sent[0]
+        d.end(request, worker)
+        d.wait(50)
+    assert well
+
+
+def test_errors_that_all_workers_answer_leave_no_worker_out() -> None:
+    # Guards against requests that are at fault themselves: they must not empty the blocks.
+    d = reporting()
+    for _ in range(60):
+        request, done = d.ask(ORDER)
+        for worker in sends(done):
+            d.end(request, worker, api.Outcome.ERROR, closed=True)
+        d.wait(300)
+    assert len(sends(d.log)) >= 40
+
+
+def test_a_worker_far_slower_than_its_peers_comes_last() -> None:
+    d, sent = reporting(), list[str]()
+    for _ in range(30):
+        request, done = d.ask(VIEW)
+        sent += sends(done)
+        d.wait(1500 if sent[-1] == sent[0] else 250)
+        d.end(request, sent[-1])
+    assert d.policy.workers[sent[0]].pace > 1.5 and sent[-20:].count(sent[0]) <= 1
+    assert sum(sends(d.ask(VIEW)[1]) == sent[:1] for _ in range(8)) <= 1
+
+
+def test_a_worker_whose_jobs_do_not_end_counts_as_slow() -> None:
+    # Guards against a hung worker: no job ends on it, so that no end could tell.
+    d = reporting(3)
+    for _ in range(4):
+        assert sends(d.ask(ORDER)[1])
+    hung = next(view for view in d.policy.workers.values() if view.jobs == 4)
+    d.wait(3000)
+    assert hung.pace > 2.5
+    assert hung.entry.worker not in sends(d.ask(ORDER)[1])
