Even out what others hold at a worker over reports, less our own jobs of their time

By reading WorkerView.note_report: a report is 0.2 to 1.5 s old, our own jobs that had ended since were taken for others' jobs, and max(0, ...) of each single noisy report made that a steady surplus.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -23,8 +23,8 @@
 MAX_DOUBLINGS = 5  # back-offs double at most this often
 COLD_PRESSURE = 0.3  # the part of the allowed pressure on a cold worker that all dispatchers use together
 RING_STEP = 0.618034  # golden ratio: any run of dispatcher numbers spreads evenly over the ring
-REPORT_LAG_MS = 300.0  # a load report shows a worker as it was about so long before it came
-REPORT_KEEP_MS = 500.0  # what a report shows of the other dispatchers' jobs fades within this
+REPORT_LAG_MS = 500.0  # a load report shows a worker as it was about so long before it came
+REPORT_KEEP_MS = 1000.0  # what a report shows of the other dispatchers' jobs fades within this
 CRASH_BREAKS = 2  # so many broken connections without one good end between them mean a crash
 PACE_SHARE = 0.2  # of each job in its worker's pace
 PACE_MOST = 4.0  # a job counts no slower than this: one that is heavy says little of its worker
@@ -489,7 +489,7 @@
         request, attempt = self.requests.find(event.request, event.attempt)
         if request is None or attempt is None:
             return
-        attempt.outcome = event.outcome
+        attempt.outcome, attempt.ended_ms = event.outcome, self.now
         view, run_ms = attempt.worker, self.learned.run_ms[request.level[0]]
         if event.outcome in (Outcome.OK, Outcome.ERROR):
             view.erred(request.level[0], ERROR_SHARE if event.outcome is Outcome.ERROR else 0.0)
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -20,6 +20,9 @@
     WorkerState,
 )
 
+REPORT_SHARE = 0.3  # of each report in what the others are taken to have
+REMEMBERED_MS = 1500.0  # a report may show an attempt that ended so long ago
+
 
 def stable_hash(text: str) -> int:
     """The same number for the same text in every process."""
@@ -96,7 +99,7 @@
     cold_next: float = 0.0  # while cold: no send before this
     free: Mapping[str, float] = field(default_factory=dict)  # the last report
     report_ms: float = 0.0  # when it came
-    out: list[Attempt] = field(default_factory=list)  # ours, with those that ended since that report
+    out: list[Attempt] = field(default_factory=list)  # ours, with those that ended a short while ago
     others: float = 0.0  # slots that the other dispatchers had taken there
     others_memory: float = 0.0
     seen_memory: float = 0.0  # most free memory ever reported
@@ -141,14 +144,19 @@
         """
         if "free_slots" in report and "free_slots" in fields:
             free = {name: value for name, value in report.items() if name in fields}
-            shown = [a for a in self.out if a.sent_ms <= now - lag_ms]
+            then = now - lag_ms
+            shown = [a for a in self.out if a.sent_ms <= then < a.ended_ms]
+            # Guards against jobs of ours that ended meanwhile and would pass for the others': what is over or
+            # under is evened out over some reports before it counts, for a single one is old and noisy.
+            share = REPORT_SHARE if self.free else 1.0
             self.free, self.report_ms = free, now
             self.seen_free = max(self.seen_free, free["free_slots"])
             self.seen_memory = max(self.seen_memory, free.get("free_memory", 0.0))
-            self.others = max(0.0, self.seen_free - free["free_slots"] - sum(a.slots for a in shown))
+            over = self.seen_free - free["free_slots"] - sum(a.slots for a in shown)
+            self.others += share * (over - self.others)
             taken = self.seen_memory - free.get("free_memory", self.seen_memory)
-            self.others_memory = max(0.0, taken - sum(a.memory for a in shown))
-        self.out = [a for a in self.out if a.outcome is None]
+            self.others_memory += share * (taken - sum(a.memory for a in shown) - self.others_memory)
+        self.out = [a for a in self.out if a.ended_ms > now - REMEMBERED_MS]
 
     def taken(self, now: float, keep_ms: float) -> tuple[float, float]:
         """Slots and memory in use: ours, as we know them, and the others', which fade as the report ages.
@@ -157,7 +165,7 @@
         never report again.
         """
         part = max(0.0, 1.0 - (now - self.report_ms) / keep_ms)
-        return self.used + self.others * part, self.memory + self.others_memory * part
+        return self.used + max(0.0, self.others) * part, self.memory + max(0.0, self.others_memory) * part
 
 
 @dataclass(slots=True, eq=False)
@@ -171,6 +179,7 @@
     expected_ms: float = 1.0  # what its class takes
     started_ms: float | None = None
     outcome: Outcome | None = None
+    ended_ms: float = float("inf")
     cancelled: bool = False
 
 
