Refuse requests that never end or hide another; let silent crowds push out themselves

The leads from reading, each confirmed by a test that failed before: no limit on a head, a body or a silent client (Connection had no timer); Content-Length beside Transfer-Encoding, repeated or odd lengths and trailers were not looked at (Connection.on_headers_complete, on_header); an endless header line grew in the parser unseen; the budget closed the longest idle client first, kept ones among silent new ones (Acceptor.opened); X-Budget took 0, inf, 1e3 and 1_0 (float); a keyed job without its key went on; slots=-3 entered the counts; a nested call-back body ended in an exception and left its client without an answer. Garbage behind an open job was answered only with that job.

Now a request is whole 2.3 s after its connection or first byte, or answered 408 or closed; the rest is refused before anything is handed on.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -26,7 +26,7 @@
 from grebestack.routing.engine import Engine
 from grebestack.routing.table import ServerTable
 from grebestack.transport.client import Pools
-from grebestack.transport.server import Acceptor
+from grebestack.transport.server import SWEEP_S, Acceptor
 
 log = logging.getLogger(__name__)
 SPARE_SOCKETS = 48  # standard streams, the loop's own, listeners, the watch, room to turn callers away
@@ -117,6 +117,7 @@
         )
         self.drmaa.restore()  # before any call-back can come
         acceptor = Acceptor(self.drmaa, self.acceptor.most)
+        self._sweep(acceptor)
         await self.loop.create_server(acceptor, *config.listen, backlog=512)
         log.info("drmaa_listening", extra={"kv": {"address": ":".join(map(str, config.listen))}})
 
@@ -136,6 +137,7 @@
         log.info("listening", extra={"kv": {"name": self.config.name, "address": address}})
         self._when_listed(time.monotonic() + LIST_WAIT_S)
         self._stats()
+        self._sweep(self.acceptor)
         gc.collect()
         gc.freeze()
         await self.done
@@ -165,6 +167,10 @@
         log.info("stats", extra={"kv": kv})
         self.loop.call_later(STATS_S, self._stats)
 
+    def _sweep(self, acceptor: Acceptor) -> None:
+        acceptor.sweep()
+        self.loop.call_later(SWEEP_S, self._sweep, acceptor)
+
     def reload(self) -> None:
         """Read the configuration again and move to the server source that it names; sessions go on.
 
--- a/grebestack/protocol/drmaa.py
+++ b/grebestack/protocol/drmaa.py
@@ -396,7 +396,7 @@
         if request.body:
             try:
                 raw = json.loads(request.body)
-            except ValueError as error:
+            except (ValueError, RecursionError) as error:
                 raise DrmaaError("INVALID_ARGUMENT", f"the body is not JSON: {error}") from error
         if parts[0] == "console" and len(parts) == 2 and self.console is not None:
             try:
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -4,16 +4,20 @@
 
 import logging
 import math
+import re
 from collections.abc import Callable
 from hashlib import blake2b
 
-from grebestack.core.interface import Settings
+from grebestack.core.interface import Effect, Settings
 from grebestack.routing.engine import Engine
 from grebestack.routing.session import Dispatch, Payload, Session
 from grebestack.transport.server import Connection, Request
 
 log = logging.getLogger(__name__)
 MARGIN_MS = 5.0  # the client's clock for a request began before its last byte came
+PLAIN = re.compile(rb"[!-~]{1,512}").fullmatch  # what may go on to a runner
+SECONDS = re.compile(rb"(?=[0-9.]*[1-9])[0-9]{1,9}(\.[0-9]{0,9})?|(?=\.0*[1-9])\.[0-9]{1,9}").fullmatch
+MOST_FIGURE = 1e6
 SLOTS = ("slots", "x1")
 MEMORY = ("mem", "memory", "x2")
 
@@ -46,6 +50,8 @@
         self.engine, self.called_back, self.jobs = engine, called_back, jobs
         self.classes = {c.name.encode(): (i, c.deadline_ms) for i, c in enumerate(settings.classes)}
         self.most_retry_after_ms = settings.max_retry_after_ms if settings.retry_after else None
+        self.keyed = {i for i, c in enumerate(settings.classes) if c.effect is Effect.KEYED}
+        self.quiet_until_ms = 0.0
         self.ready = False
         self.until_ms = math.inf  # a planned stop: the kill finds what is open after this
         self.closing = False  # no job is taken any more
@@ -80,24 +86,34 @@
         headers = request.headers
         call_id = headers.get(b"x-call-id", b"")
         known = self.classes.get(headers.get(b"x-call-class", b""))
-        try:
-            budget_ms = float(headers[b"x-budget"]) * 1000.0 if b"x-budget" in headers else math.inf
-        except ValueError:
-            budget_ms = math.nan
+        budget, key = headers.get(b"x-budget"), headers.get(b"idempotency-key")
+        more = figures(headers.get(b"x-call-info", b""))
+        slots = next((more[name] for name in SLOTS if name in more), 1.0)
+        memory = next((more[name] for name in MEMORY if name in more), 0.0)
         if request.method != b"POST":
             connection.answer(405, headers=b"Allow: POST\r\n")
             return
-        if not call_id or known is None or math.isnan(budget_ms):
-            log.info("malformed", extra={"kv": {"call_id": call_id.decode("latin-1")}})
-            connection.answer(400)
+        # Guards runners, and the counts that decisions rest on, against what no client should send: a runner
+        # closes on what it can't read, and a keyed job without its key could run twice.
+        wrong = (
+            known is None
+            or not PLAIN(call_id)
+            or not PLAIN(request.target)
+            or (budget is not None and not SECONDS(budget))
+            or (key is None and known[0] in self.keyed)
+            or (key is not None and not PLAIN(key))
+            or not (0 < slots <= MOST_FIGURE and 0 <= memory <= MOST_FIGURE)
+        )
+        if known is None or wrong:
+            self._malformed(connection, call_id)
             return
         if connection.crowded or self.closing:
             self.deny(connection, self.most_retry_after_ms)
             return
         index, deadline_ms = known
-        more = figures(headers.get(b"x-call-info", b""))
+        budget_ms = math.inf if budget is None else float(budget) * 1000.0
         head = b"POST %s HTTP/1.1\r\nX-Call-Id: %s\r\n" % (request.target, call_id)
-        if (key := headers.get(b"idempotency-key")) is not None:
+        if key is not None:
             head += b"Idempotency-Key: %s\r\n" % key
         cost = figures(b"cost=" + headers.get(b"x-call-cost", b"")).get("cost")
         session = self.engine.open(
@@ -106,8 +122,8 @@
             Payload(head, request.body),
             index,
             min(self.engine.clock.now_ms() + min(budget_ms, deadline_ms) - MARGIN_MS, self.until_ms),
-            slots=next((more[name] for name in SLOTS if name in more), 1.0),
-            memory=next((more[name] for name in MEMORY if name in more), 0.0),
+            slots=slots,
+            memory=memory,
             key=key_of(headers.get(b"x-route-hash")),
             cost_ms=cost,
             retry=headers.get(b"x-again") == b"1",
@@ -117,6 +133,14 @@
         elif not session.closed:
             connection.session = session
 
+    def _malformed(self, connection: Connection, call_id: bytes) -> None:
+        """Answer 400. One line a second at most: a client that repeats itself must not fill the log."""
+        self.engine.counts["malformed"] += 1
+        if self.engine.clock.now_ms() >= self.quiet_until_ms:
+            self.quiet_until_ms = self.engine.clock.now_ms() + 1000.0
+            log.info("malformed", extra={"kv": {"call_id": call_id[:80].decode("latin-1")}})
+        connection.answer(400)
+
     def deny(self, connection: Connection, retry_after_ms: float | None) -> None:
         """Answer that it is not done and may be tried again, and when."""
         wait = b"" if retry_after_ms is None else b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000.0)
--- a/grebestack/protocol/runners.py
+++ b/grebestack/protocol/runners.py
@@ -195,7 +195,7 @@
     def answered(self, response: Response) -> None:
         try:
             report = self.runners.reports.fields(json.loads(response.body or b"{}"))
-        except ValueError:
+        except (ValueError, RecursionError):
             report = self.runners.reports.header(response.body)
         self._ended(Outcome.OK if response.status == 200 else Outcome.ERROR, report)
 
@@ -283,9 +283,9 @@
         try:
             raw = json.loads(body)
             call_id, server, state = raw["id"], raw["from"], raw["state"]
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             return False
-        if not isinstance(call_id, str) or not isinstance(server, str):
+        if not all(isinstance(value, str) for value in (call_id, server, state)):
             return False
         call = self.calls.get((call_id, server))
         if call is None and state in FINAL and (call_id, server) in self.adopted:
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from typing import Any, Protocol, cast
@@ -13,10 +14,17 @@
 log = logging.getLogger(__name__)
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
-MOST_QUEUED = 4  # requests that a client may send ahead of an answer
+MOST_QUEUED = 2  # requests that a client may send ahead of an answer
+WHOLE_S = 2.3  # a request is whole so long after its connection came up, or after its first byte
+LINGER_S = 2.0  # a client that does not read the last answer is cut off after this
+SWEEP_S = 0.25
+ONCE = frozenset(  # two of these leave open which one counts
+    b"content-length transfer-encoding x-call-id x-call-class x-budget x-call-info idempotency-key".split()
+)
 REASONS = {
     200: b"OK", 202: b"Accepted", 204: b"No Content", 400: b"Bad Request", 404: b"Not Found",
-    405: b"Method Not Allowed", 409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
+    405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 501: b"Not Implemented",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }
@@ -51,8 +59,8 @@
 class Connection(asyncio.Protocol):
     """One client's connection.
 
-    States: idle (nothing read or only part of a request), busy (a request waits for its answer), closed.
-    Reading goes on while busy, since an end of file then means that the client has gone.
+    States: waiting (new, or part of a request has come), idle (kept after an answer), busy (a request waits
+    for its answer), closed. Reading goes on while busy: an end of file then means that the client has gone.
     """
 
     def __init__(self, acceptor: Acceptor) -> None:
@@ -66,12 +74,16 @@
         self.session: Any = None  # the handler's own note
         self.queued: deque[Request] = deque()
         self.refused: int | None = None  # why the request that is being read is refused
+        self.whole = 0  # requests that came to their end
+        self.fed = 0  # bytes of a head that is not whole
         self._begin()
 
     def _begin(self) -> None:
         self.reading = Request()
         self.parts: list[bytes] = []
         self.size = self.head = 0
+        self.headed = False  # the head is whole: what comes as headers after it are trailers
+        self.partial = False  # some of the request has come, not all
 
     # asyncio's callbacks.
 
@@ -82,14 +94,30 @@
     def data_received(self, data: bytes) -> None:
         if self.closing or self.refused is not None:
             return  # what follows the last request that is taken is dropped unread
+        whole = self.whole
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.refused = self.refused or 400
         except httptools.HttpParserError:
             self.refused = self.refused or 400
+        if self.partial and not self.headed and whole == self.whole:
+            # Guards memory against a line that never ends, which the parser keeps and tells nobody of.
+            self.fed += len(data)
+            if self.fed > MOST_HEAD:
+                self.refused = self.refused or 431
         if self.refused is not None:
-            self._next()
+            self._refuse()
+        elif self.partial and not self.busy:
+            self.acceptor.awaited(self)
+
+    def overdue(self) -> None:
+        """Guards against clients that say nothing or never finish: no longer is waited for them."""
+        if self.partial and not self.busy:
+            self.refused = 408
+            self._refuse()
+        elif not self.busy:
+            self.close()
 
     def eof_received(self) -> bool:
         return False  # a client that has stopped sending has gone
@@ -114,16 +142,19 @@
 
     def on_message_begin(self) -> None:
         self._begin()
+        self.partial = True
 
     def on_url(self, url: bytes) -> None:
         self._count_head(len(url))
         self.reading.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.headed:
+            return
         self._count_head(len(name) + len(value))
         name = name.lower()
-        if name in self.reading.headers and name in (b"x-call-id", b"x-call-class", b"x-budget"):
-            self.refused = 400  # two values for what must be one
+        if name in ONCE and name in self.reading.headers:
+            self.refused = 400
         self.reading.headers[name] = value
 
     def _count_head(self, size: int) -> None:
@@ -133,8 +164,13 @@
 
     def on_headers_complete(self) -> None:
         headers = self.reading.headers
-        length = headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > MOST_BODY:
+        self.headed, self.fed = True, 0
+        length, coding = headers.get(b"content-length", b"0"), headers.get(b"transfer-encoding", b"chunked")
+        # Guards against a request that hides in the body of another: which length counts must never be open.
+        odd = not length.isdigit() or coding.lower() != b"chunked" or self.parser.should_upgrade()
+        if odd or (b"content-length" in headers and b"transfer-encoding" in headers):
+            self.refused = 400
+        elif len(length) > 18 or int(length) > MOST_BODY:
             self.refused = 413
         elif headers.get(b"expect", b"").lower() == b"100-continue" and not self.busy and self.transport:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -148,6 +184,8 @@
             self.parts.append(body)
 
     def on_message_complete(self) -> None:
+        self.partial = self.headed = False
+        self.whole += 1
         if self.refused is not None:
             return
         request = self.reading
@@ -157,17 +195,33 @@
         self.queued.append(request)
         if len(self.queued) > MOST_QUEUED:
             self.refused = 400
-        self._next()
+        else:
+            self._next()
 
     # Requests and answers.
 
+    def _refuse(self) -> None:
+        """Answer a client that breaks the protocol at once, whatever it still waits for."""
+        self.queued.clear()
+        if self.busy and not self.closing:
+            self.closing = True
+            self.acceptor.handler.gone(self)
+            self.answer(self.refused or 400)
+        else:
+            self._next()
+
     def _next(self) -> None:
         """Hand on the next request, unless one is unanswered or the client does not read."""
         while self.queued and not self.busy and not self.paused and not self.closing:
             request = self.queued.popleft()
             self.busy, self.closing = True, not request.keep_alive
             self.acceptor.engaged(self)
-            self.acceptor.handler.request(self, request)
+            try:
+                self.acceptor.handler.request(self, request)
+            except Exception:  # guards the client, and the budget, against a fault of ours
+                log.exception("request_fault", extra={"kv": {"target": request.target[:80]}})
+                self.acceptor.handler.gone(self)
+                self.answer(500)
         if self.refused is not None and not self.busy and not self.closing:
             self.busy = self.closing = True
             self.answer(self.refused)
@@ -187,27 +241,40 @@
             % (status, reason, headers, close, len(body), body)
         )
         if self.closing:
-            self.transport.close()
+            self._shut()
         elif self.queued or self.refused is not None:
             self._next()
+        elif self.partial:
+            self.acceptor.awaited(self)
         else:
             self.acceptor.idled(self)
 
     def close(self) -> None:
         """Close it if it is idle, else after the answer."""
         self.closing = True
-        if not self.busy and self.transport is not None:
+        if not self.busy:
+            self._shut()
+
+    def _shut(self) -> None:
+        if self.transport is not None:
             self.transport.close()
+            self.acceptor.leaving(self)
 
 
 class Acceptor:
-    """Makes connections and keeps them within a budget: the longest idle ones are closed first."""
+    """Makes connections and keeps them within a budget.
+
+    Those that owe a request and those that are idle are closed first, the longest of the larger crowd: one
+    that says nothing pushes out itself and not the clients that are served.
+    """
 
     def __init__(self, handler: Handler, most: int) -> None:
         self.handler, self.most = handler, most
         self.margin = most // 8  # come while all are busy: their call-backs are taken, their jobs denied
         self.connections: set[Connection] = set()
         self.idle: OrderedDict[Connection, None] = OrderedDict()
+        self.waiting: OrderedDict[Connection, float] = OrderedDict()  # since when a request is owed
+        self.left: OrderedDict[Connection, float] = OrderedDict()  # since when the last answer is being read
         self.draining = False
 
     def __call__(self) -> Connection:
@@ -217,19 +284,44 @@
         """A connection has come up."""
         self.connections.add(connection)
         if len(self.connections) > self.most:
-            if self.idle:
-                self.idle.popitem(last=False)[0].close()
+            crowd = self.waiting if len(self.waiting) > len(self.idle) else self.idle
+            if crowd:
+                next(iter(crowd)).close()
             else:
                 connection.crowded = True
                 if len(self.connections) > self.most + self.margin and connection.transport is not None:
                     log.warning("frontend_dropped", extra={"kv": {"connections": len(self.connections)}})
                     connection.transport.abort()
                     return
-        self.idle[connection] = None
+        self.waiting[connection] = time.monotonic()
+
+    def awaited(self, connection: Connection) -> None:
+        """Part of a request has come."""
+        if connection not in self.waiting:
+            self.idle.pop(connection, None)
+            self.waiting[connection] = time.monotonic()
+
+    def leaving(self, connection: Connection) -> None:
+        """A connection has its last answer and ends once that is read."""
+        self.waiting.pop(connection, None)
+        self.idle.pop(connection, None)
+        self.left[connection] = time.monotonic()
+
+    def sweep(self) -> None:
+        """End what has been waited for long enough."""
+        now = time.monotonic()
+        for crowd, most_s in ((self.waiting, WHOLE_S), (self.left, LINGER_S)):
+            while crowd and next(iter(crowd.values())) < now - most_s:
+                connection, _ = crowd.popitem(last=False)
+                if crowd is self.waiting:
+                    connection.overdue()
+                elif connection.transport is not None:
+                    connection.transport.abort()
 
     def engaged(self, connection: Connection) -> None:
         """A connection has got a request."""
         self.idle.pop(connection, None)
+        self.waiting.pop(connection, None)
 
     def idled(self, connection: Connection) -> None:
         """A connection waits for its next request."""
@@ -238,10 +330,11 @@
     def closed(self, connection: Connection) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
-        self.idle.pop(connection, None)
+        for crowd in (self.idle, self.waiting, self.left):
+            crowd.pop(connection, None)
 
     def drain(self) -> None:
         """Close what is idle now and all else with its next answer."""
         self.draining = True
-        for connection in list(self.idle):
+        for connection in [*self.idle, *self.waiting]:
             connection.close()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -38,6 +38,22 @@
             self.protocol.connection_lost(None)
 
 
+MALFORMED = [
+    b"\0 no http\r\n\r\n",
+    b"POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",
+    b"POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+    b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+    b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    b"POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    b"POST / HTTP/1.1\r\nX-Endless: " + b"x" * 20_000,
+    b"POST / HTTP/1.1\r\nX-Budget: 1\r\nX-Budget: 2\r\n\r\n",
+    b"POST / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1000\r\n" + b"x" * 4096 + b"\r\n1000\r\n",
+]
+
+
 class ServerConnectionModel(RuleBasedStateMachine):
     """Requests arrive in pieces; each whole one is handed on in order, one at a time, and answered once."""
 
@@ -58,7 +74,7 @@
         self.due = True
 
     def gone(self, connection: server.Connection) -> None:
-        assert self.due and self.wire.lost
+        assert self.due and (self.wire.lost or self.broken)
         self.due = False
         self.told_gone += 1
 
@@ -76,10 +92,20 @@
         self.connection.data_received(piece)
 
     @precondition(lambda self: not self.broken and not self.unsent)
-    @rule(what=st.sampled_from([b"\0 no http\r\n\r\n", b"POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"]))
+    @rule(what=st.sampled_from(MALFORMED))
     def malformed(self, what: bytes) -> None:
         self.broken, self.unsent = True, what
 
+    @rule()
+    def long_after(self) -> None:
+        owed = not self.due and self.connection in self.acceptor.waiting
+        for crowd in (self.acceptor.waiting, self.acceptor.left):
+            for connection in crowd:
+                crowd[connection] -= 60.0
+        self.acceptor.sweep()
+        assert not owed or self.wire.closed
+        self.broken = self.broken or owed
+
     @precondition(lambda self: self.due)
     @rule()
     def answer(self) -> None:
@@ -108,13 +134,14 @@
 
     @invariant()
     def answers_are_those_asked_for(self) -> None:
-        refusals = self.wire.written.count(b"HTTP/1.1 400") + self.wire.written.count(b"HTTP/1.1 413")
+        refusals = sum(self.wire.written.count(b"HTTP/1.1 %d" % status) for status in (400, 408, 413, 431))
         assert self.wire.written.count(b"HTTP/1.1 200") == self.answers
         assert refusals <= int(self.broken)
         if refusals:
             assert self.wire.closed and self.answers + refusals == self.handed + 1 - self.told_gone
-        idle = self.connection in self.acceptor.idle
-        assert not (idle and self.due)
+        crowds = (self.acceptor.idle.keys(), self.acceptor.waiting.keys(), self.acceptor.left.keys())
+        known = sum(self.connection in crowd for crowd in crowds)
+        assert known == int(not self.due) if not self.wire.closed else known <= 1
         assert (self.connection in self.acceptor.connections) == (not self.wire.lost)
 
 
@@ -383,5 +410,53 @@
     assert exchange.ends == ["broken"] and wire.closed
 
 
+def refused(acceptor: server.Acceptor, data: bytes) -> Wire:
+    wire = Wire(acceptor())
+    wire.protocol.data_received(data)
+    return wire
+
+
+def test_what_hides_a_request_or_never_ends_is_refused_at_once() -> None:
+    # Guards the runners' connections: none of this may ever be handed on.
+    class Handler(Silent):
+        def request(self, connection: server.Connection, request: server.Request) -> None:
+            raise AssertionError("handed on")
+
+    for data in MALFORMED[:-1]:
+        wire = refused(server.Acceptor(Handler(), most=8), data)
+        assert wire.closed and wire.written.startswith(b"HTTP/1.1 4"), data[:60]
+
+
+def test_trailers_change_nothing() -> None:
+    got: list[server.Request] = []
+
+    class Handler(Silent):
+        def request(self, connection: server.Connection, request: server.Request) -> None:
+            got.append(request)
+
+    head = b"POST / HTTP/1.1\r\nX-Call-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    refused(server.Acceptor(Handler(), most=8), head + b"1\r\nx\r\n0\r\nX-Call-Id: b\r\nX-Other: c\r\n\r\n")
+    assert [(r.body, r.headers[b"x-call-id"], b"x-other" in r.headers) for r in got] == [(b"x", b"a", False)]
+
+
+def test_a_silent_crowd_pushes_out_itself_and_not_the_clients_that_are_served() -> None:
+    acceptor = server.Acceptor(Silent(), most=20)
+    kept = [refused(acceptor, b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n") for _ in range(8)]
+    for wire in kept:
+        cast(server.Connection, wire.protocol).answer(200)
+    crowd = [Wire(acceptor()) for _ in range(300)]
+    assert not any(wire.closed for wire in kept)
+    assert sum(not wire.closed for wire in crowd) <= 12
+
+
+def test_a_fault_of_ours_answers_the_client_and_frees_its_connection() -> None:
+    class Handler(Silent):
+        def request(self, connection: server.Connection, request: server.Request) -> None:
+            raise RuntimeError("a fault")
+
+    wire = refused(server.Acceptor(Handler(), most=8), b"GET / HTTP/1.1\r\n\r\n")
+    assert wire.written.startswith(b"HTTP/1.1 500")
+
+
 TestServerConnection = ServerConnectionModel.TestCase
 TestPool = PoolModel.TestCase
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,14 +30,31 @@
     runner = world.runner("s-1")
     front = world.start()
     for n in range(5):
-        assert call(front, "POST", "/api", b"", {"X-Call-Id": f"b{n}", "X-Call-Class": "reading"})[0] == 200
+        assert call(front, "POST", "/api", b"", job(f"b{n}", "reading"))[0] == 200
     assert len(runner.jobs) == 5
     assert runner.connections == 1
 
 
+def job(call_id: str, job_class: str) -> dict[str, str]:
+    """The headers of a job."""
+    return {"X-Call-Id": call_id, "X-Call-Class": job_class, "Idempotency-Key": call_id}
+
+
 def test_what_is_malformed_is_answered(world: World) -> None:
+    runner = world.runner("s-1")
     front = world.start()
     good = {"X-Call-Id": "c1", "X-Call-Class": "order"}
+    for budget in ("-1", "0", "0.000", "inf", "1e3", "1_0", "soon", "", "."):
+        assert call(front, "POST", "/api", b"", good | {"X-Budget": budget})[0] == 400, budget
+    for more in ({"X-Call-Class": "reading"}, {"X-Call-Info": "slots=-3"}, {"X-Call-Id": "a b"}):
+        assert call(front, "POST", "/api", b"", good | more)[0] == 400, more
+    with socket.create_connection(front, 30) as client:
+        client.sendall(b"POST /api?\xe9 HTTP/1.1\r\nX-Call-Id: c2\r\nX-Call-Class: order\r\n\r\n")
+        assert client.recv(100).startswith(b"HTTP/1.1 400")
+    nested = b"[" * 60_000
+    assert call(front, "POST", "/callback", nested, {})[0] == 400
+    assert call(front, "POST", "/callback", b'{"id":"x","from":"y","state":[]}', {})[0] == 400
+    assert not runner.jobs
     assert call(front, "POST", "/api", b"", good | {"X-Call-Class": "nothing"})[0] == 400
     assert call(front, "POST", "/api", b"", good | {"X-Budget": "nan"})[0] == 400
     assert call(front, "POST", "/api", b"", {"X-Call-Class": "order"})[0] == 400
@@ -111,6 +128,28 @@
 
 
 
+def test_clients_that_say_nothing_or_never_finish_are_let_go(world: World) -> None:
+    front = world.start()
+    halves = [b"", b"POST /api HTTP/1.1\r\nX-Call", b"POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"]
+    clients = [socket.create_connection(front, 30) for _ in halves]
+    for client, half in zip(clients, halves, strict=True):
+        client.sendall(half)
+    for client, half in zip(clients, halves, strict=True):
+        assert client.recv(100).startswith(b"HTTP/1.1 408" if half else b"")
+        client.close()
+
+
+def test_a_client_that_breaks_the_protocol_behind_an_open_job_is_answered_at_once(world: World) -> None:
+    runner = world.runner("s-1", seconds=60.0)
+    front = world.start()
+    with socket.create_connection(front, 30) as client:
+        client.sendall(b"POST /api HTTP/1.1\r\nX-Call-Id: m1\r\nX-Call-Class: order\r\n")
+        client.sendall(b"Content-Length: 0\r\n\r\n")
+        wait_until(lambda: len(runner.jobs) == 1)
+        client.sendall(b"\0\0\r\n\r\n")
+        assert client.recv(100).startswith(b"HTTP/1.1 400") and client.recv(100) == b""
+
+
 def test_a_hung_runner_holds_no_connection_for_ever(world: World) -> None:
     # Guards against give-ups that pile up on the silent connections of a machine that was cut off.
     runner = world.runner("s-1", seconds=60.0)
