--- a/grebestack/__main__.py
+++ b/grebestack/__main__.py
@@ -7,7 +7,7 @@
 import sqlite3
 import sys
 
-from grebestack.program import console, log
+from grebestack.program import log
 from grebestack.program.config import Config, ConfigError, from_file, from_platform
 from grebestack.program.dispatcher import run
 
@@ -15,6 +15,8 @@
 def main() -> int:
     """Start the dispatcher, or ask a running one; a bad configuration is one plain line and status 2."""
     if sys.argv[1:2] == ["console"]:
+        from grebestack.program import console  # only here: a dispatcher that restarts must be back soon
+
         return console.main(sys.argv[2:])
     parser = argparse.ArgumentParser(prog="grebestack", description="A dispatcher of jobs to job runners.")
     parser.add_argument("--config", metavar="FILE", help="an operator's file; else RELAY_CONFIG is read")
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -30,6 +30,7 @@
 PACE_MOST = 4.0  # a job counts no slower than this: one that is heavy says little of its worker
 SLUGGISH = 1.5  # a worker this much slower than is typical comes later and gets fewer jobs
 SLOW = 2.5  # and one this much slower only trials
+TRIAL = 4.0  # an ill worker's next trial comes after so many running times, doubled each time
 ERROR_SHARE = 0.3  # of each error in its worker's share of them
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
@@ -347,7 +348,7 @@
         index, run_ms = request.level[0], self.learned.run_ms[request.level[0]]
         attempt = Attempt(view, self.now, request.asked.slots, request.asked.memory, run_ms)
         if self._ill(view, index):
-            view.trial_at[index] = self.now + self._jitter(2 * run_ms, view.trials)
+            view.trial_at[index] = self.now + self._jitter(TRIAL * run_ms, view.trials)
             view.trials += 1
         request.attempts.append(attempt)
         request.held = False
@@ -518,8 +519,10 @@
         index = request.level[0]
         ran_ms = self.now - (attempt.started_ms or attempt.sent_ms)
         self.learned.ran(index, ran_ms)
-        view.ran(min(PACE_MOST, ran_ms / attempt.expected_ms), PACE_SHARE)
-        view.trials = view.trials if self._ill(view, index) else 0
+        ratio = ran_ms / attempt.expected_ms
+        view.ran(min(PACE_MOST, ratio), PACE_SHARE)
+        if ratio <= SLUGGISH * self.typical_pace:  # a trial went well: the next may follow at once
+            view.trials, view.trial_at[index] = 0, self.now
         # Guards against pushing over a worker that came back before the list says so. A break of a connection
         # under one that works on must not make it count as cold.
         if view.breaks >= CRASH_BREAKS and attempt.sent_ms >= view.broke_ms:
