While stopping, keep one in six of the clients' connections free

Ruled out: our closing them, the time at which the other one ends, denials. At fault: PlatformFront._job took a job on the last free connection.

Now such a job is denied (it has not been taken) and told to come back in 0.1 s. A lone client is served on.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -201,7 +201,7 @@
         if self.stopping:
             return
         self.stopping = True
-        self.front.ready = False
+        self.front.ready, self.front.leaving = False, True
         if self.drmaa is not None:
             self.drmaa.stopping = True
         log.info("stopping", extra={"kv": {"open": len(self.engine.open_by_call_id)}})
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -18,6 +18,8 @@
 PLAIN = re.compile(rb"[!-~]{1,512}").fullmatch  # what may go on to a runner
 SECONDS = re.compile(rb"(?=[0-9.]*[1-9])[0-9]{1,9}(\.[0-9]{0,9})?|(?=\.0*[1-9])\.[0-9]{1,9}").fullmatch
 MOST_FIGURE = 1e6
+SPARE_PART = 6  # of so many clients' connections one stays free during a planned stop
+SPARE_MS = 100.0
 SLOTS = ("slots", "x1")
 MEMORY = ("mem", "memory", "x2")
 
@@ -53,6 +55,7 @@
         self.keyed = {i for i, c in enumerate(settings.classes) if c.effect is Effect.KEYED}
         self.quiet_until_ms = 0.0
         self.ready = False
+        self.leaving = False  # a planned stop has begun: no new connection reaches this dispatcher soon
         self.until_ms = math.inf  # a planned stop: the kill finds what is open after this
         self.closing = False  # no job is taken any more
 
@@ -110,6 +113,12 @@
         if connection.crowded or self.closing:
             self.deny(connection, self.most_retry_after_ms)
             return
+        connection.asked = True
+        # Guards a planned stop: no new connection comes any more, so that a job which takes the last free one
+        # leaves all jobs behind it without any for its whole run. It has not been taken and may come again.
+        if self.leaving and self._crowded(connection):
+            self.deny(connection, None if self.most_retry_after_ms is None else SPARE_MS)
+            return
         index, deadline_ms = known
         budget_ms = math.inf if budget is None else float(budget) * 1000.0
         head = b"POST %s HTTP/1.1\r\nX-Call-Id: %s\r\n" % (request.target, call_id)
@@ -133,6 +142,11 @@
         elif not session.closed:
             connection.session = session
 
+    def _crowded(self, connection: Connection) -> bool:
+        """Whether too few of the clients' connections are free."""
+        free = sum(other.asked for other in connection.acceptor.idle)
+        return free < sum(other.asked for other in connection.acceptor.connections) // SPARE_PART
+
     def _malformed(self, connection: Connection, call_id: bytes) -> None:
         """Answer 400. One line a second at most: a client that repeats itself must not fill the log."""
         self.engine.counts["malformed"] += 1
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -72,6 +72,7 @@
         self.paused = False
         self.crowded = False  # it came while the budget was spent
         self.session: Any = None  # the handler's own note
+        self.asked = False  # whether it has brought a job: a client's, not a runner's
         self.queued: deque[Request] = deque()
         self.refused: int | None = None  # why the request that is being read is refused
         self.whole = 0  # requests that came to their end
