A malformed list in a reloaded file leaves the old source of servers in force

Found by reading Dispatcher.reload: the old watch was retired before the new source was made, and an entry that can't be read (ListReader.server) raised there, so that nothing was watched any more. The new source is made first now. A test moves an appliance from discovery to a list, over a malformed one that changes nothing.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -189,10 +189,15 @@
         if not moved or self.stopped:
             return
         former = self.watch
+        config = replace(self.config, discovery=config.discovery, servers=config.servers)
+        try:
+            watch = self._source(config, former if isinstance(former, Watch) else None)
+        except (ValueError, KeyError, TypeError) as error:  # guards the old source against a malformed list
+            log.error("reload_failed", extra={"kv": {"error": repr(error)}})
+            return
         if former is not None:
             former.retire()
-        self.config = replace(self.config, discovery=config.discovery, servers=config.servers)
-        self.watch = self._source(self.config, former if isinstance(former, Watch) else None)
+        self.config, self.watch = config, watch
         if self.watch is not None:
             self.watch.start()
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -238,3 +238,29 @@
     assert call(front, "POST", "/api", b"", {"X-Call-Id": "k3", "X-Call-Class": "order"})[0] == 200
     assert (new.watches, old.watches) == (1, watches)
     new.close()
+
+
+def test_an_appliance_moves_to_the_list_in_its_file_and_not_to_a_malformed_one(world: World) -> None:
+    runner = world.runner("s-1")
+    front = world.start_appliance()
+    other = world.runner("s-2")
+    path = world.folder / "appliance.toml"
+    text = path.read_text().replace('source = "discovery"', 'source = "list"')
+    line = '\n[[servers.list]]\nuid = "s-2"\nstate = "%s"\nendpoint = "127.0.0.1:%d"\n[drmaa]'
+
+    def servers() -> dict[str, str]:
+        listed = json.loads(call(front, "GET", "/console/servers", b"", {})[2])
+        return {server["server"]: server["state"] for server in listed}
+
+    path.write_text(text.replace("\n[drmaa]", line % ("Asleep", other.address[1])))
+    world.process.send_signal(signal.SIGHUP)
+    wait_until(lambda: servers() == {"s-1": "ready", "s-2": "ready"})
+    path.write_text(text.replace("\n[drmaa]", line % ("Ready", other.address[1])))
+
+    def moved() -> bool:
+        world.process.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+        return servers() == {"s-2": "ready"}
+
+    wait_until(moved)
+    assert not runner.jobs
