Exchanges that need not know of their last byte say nothing; one way to end a former watch

Read over the whole change. GiveUp, Probe and Query each repeated the same careful = False and an empty committed (now Exchange's own defaults); Watch ended the watch it follows in two places; Connection.overdue asked twice whether it is busy, which a connection that owes a request never is; a reloaded Consul source took its options by a detour. Behaviour is as it was.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -89,7 +89,7 @@
             pools = Pools(self.loop, 2, 2.0, 60.0, most_body=8 * 1024 * 1024)
             clock, source = self.engine.clock, config.servers
             return ConsulWatch(
-                pools, clock, config.discovery, source.service, source.token, self.config.options, self.table,
+                pools, clock, config.discovery, source.service, source.token, config.options, self.table,
                 source.wait_s,
             )
         if config.servers.source == "list":
--- a/grebestack/protocol/consul.py
+++ b/grebestack/protocol/consul.py
@@ -18,7 +18,7 @@
 from grebestack.protocol.settings import Places
 from grebestack.routing.interfaces import Clock, Timer
 from grebestack.routing.table import Server, ServerTable
-from grebestack.transport.client import Address, Pools, Response
+from grebestack.transport.client import Address, Exchange, Pools, Response
 
 log = logging.getLogger(__name__)
 WAIT_S = 30.0  # how long a query may block
@@ -74,20 +74,15 @@
         )
 
 
-class Query:
+class Query(Exchange):
     """One blocking query."""
 
-    careful = False
-
     def __init__(self, watch: ConsulWatch, data: bytes) -> None:
         self.watch, self.data = watch, data
 
     def begin(self) -> bytes | None:
         return self.data
 
-    def committed(self) -> None:
-        pass
-
     def answered(self, response: Response) -> None:
         self.watch.answered(self, response)
 
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -94,14 +94,17 @@
     def stop(self) -> None:
         """Watch no longer."""
         self.stopped = True
-        if self.follows is not None:
-            self.follows.stop()
-            self.follows = None
+        self._end_former()
         if self.watchdog is not None:
             self.watchdog.cancel()
         if self.stream is not None:
             self.stream.close()
 
+    def _end_former(self) -> None:
+        if self.follows is not None:
+            self.follows.stop()
+            self.follows = None
+
     async def _open(self) -> None:
         host, port = self.address
         request = (
@@ -151,8 +154,6 @@
             log.warning("bad_list_line", extra={"kv": {"error": repr(error)}})
             return
         self.version = version
-        if self.follows is not None:
-            # Guards against a gap on a move, and against an old address that speaks after the new one.
-            self.follows.stop()
-            self.follows = None
+        # Guards against a gap on a move, and against an old address that speaks after the new one.
+        self._end_former()
         self.table.update(ListKind.FULL if whole else ListKind.CHANGES, servers)
--- a/grebestack/protocol/runners.py
+++ b/grebestack/protocol/runners.py
@@ -133,14 +133,12 @@
         self.timer.cancel()
 
 
-class GiveUp:
+class GiveUp(Exchange):
     """The exchange that tells a runner that a job is no longer waited for.
 
     `taken` is called once the runner has said that it gives the job up.
     """
 
-    careful = False
-
     def __init__(
         self, clock: Clock, call_id: str, pool: Pool, taken: Callable[[], None] = lambda: None
     ) -> None:
@@ -154,9 +152,6 @@
     def begin(self) -> bytes | None:
         return self.data
 
-    def committed(self) -> None:
-        pass
-
     def answered(self, response: Response) -> None:
         self.ended()
         if 200 <= response.status < 300:
@@ -169,11 +164,9 @@
         self.ended()
 
 
-class Probe:
+class Probe(Exchange):
     """The exchange that asks a runner for its load report."""
 
-    careful = False
-
     def __init__(self, runners: Runners, server: str, pool: Pool) -> None:
         self.runners, self.server, self.pool = runners, server, pool
         self.sent_ms = runners.engine.clock.now_ms()
@@ -184,9 +177,6 @@
             self.pool.address[0].encode(), self.pool.address[1]
         )
 
-    def committed(self) -> None:
-        pass
-
     def _ended(self, outcome: Outcome, report: Mapping[str, float]) -> None:
         self.limit.lift()
         engine = self.runners.engine
--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -33,13 +33,14 @@
 class Exchange(Protocol):
     """One request to a server. One of `answered`, `unsent`, `broken` follows, or `begin` said no."""
 
-    careful: bool  # whether its last byte is held back until the connection has shown that it lives
+    careful: bool = False  # whether its last byte is held back until the connection has shown that it lives
 
     def begin(self) -> bytes | None:
         """A connection is up: all bytes to write, or None if it is not to be sent after all."""
 
     def committed(self) -> None:
-        """Its last byte goes now."""
+        """Its last byte goes now; most exchanges need not know."""
+        return
 
     def answered(self, response: Response) -> None:
         """The whole answer has come."""
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -114,10 +114,10 @@
 
     def overdue(self) -> None:
         """Guards against clients that say nothing or never finish: no longer is waited for them."""
-        if self.partial and not self.busy:
+        if self.partial:
             self.refused = 408
             self._refuse()
-        elif not self.busy:
+        else:
             self.close()
 
     def eof_received(self) -> bool:
