Bound trailers that never end as heads are bounded

Found reading over the change: Connection.data_received counted a line that the parser keeps only while the head was not whole. A probe fed a chunked request's trailer: 4 MiB were taken and the connection stayed open; only the 2.3 s for a whole request would have ended it. What comes without getting the head or the body on now counts in the trailers too. The test feeds 20 KiB of a trailer and fails without the change.

--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -76,7 +76,7 @@
         self.queued: deque[Request] = deque()
         self.refused: int | None = None  # why the request that is being read is refused
         self.whole = 0  # requests that came to their end
-        self.fed = 0  # bytes of a head that is not whole
+        self.fed = 0  # bytes since the head or the body got on
         self._begin()
 
     def _begin(self) -> None:
@@ -95,15 +95,16 @@
     def data_received(self, data: bytes) -> None:
         if self.closing or self.refused is not None:
             return  # what follows the last request that is taken is dropped unread
-        whole = self.whole
+        whole, size, headed = self.whole, self.size, self.headed
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.refused = self.refused or 400
         except httptools.HttpParserError:
             self.refused = self.refused or 400
-        if self.partial and not self.headed and whole == self.whole:
-            # Guards memory against a line that never ends, which the parser keeps and tells nobody of.
+        if self.partial and whole == self.whole and (not self.headed or (headed and size == self.size)):
+            # Guards memory against a line that never ends, in head or trailers: the parser keeps it
+            # and tells nobody.
             self.fed += len(data)
             if self.fed > MOST_HEAD:
                 self.refused = self.refused or 431
@@ -178,6 +179,7 @@
 
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
+        self.fed = 0
         if self.size > MOST_BODY:
             self.refused = 413
             self.parts.clear()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -439,6 +439,15 @@
     assert [(r.body, r.headers[b"x-call-id"], b"x-other" in r.headers) for r in got] == [(b"x", b"a", False)]
 
 
+def test_a_trailer_that_never_ends_is_refused() -> None:
+    # Guards memory: the parser keeps a line until it is whole.
+    head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Endless: "
+    wire = refused(server.Acceptor(Silent(), most=8), head)
+    for _ in range(20):
+        wire.protocol.data_received(b"x" * 1024)
+    assert wire.closed and wire.written.startswith(b"HTTP/1.1 431")
+
+
 def test_a_silent_crowd_pushes_out_itself_and_not_the_clients_that_are_served() -> None:
     acceptor = server.Acceptor(Silent(), most=20)
     kept = [refused(acceptor, b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n") for _ in range(8)]
