Believe in the others' load from the list, claim a part of a runner's room, spread list calls

The old list cost 6,245 refused connections, up to 921 a second. Causes: WorkerView.taken (fading to 0; the list's weights, size / (1 + held per slot), were not read); the claim of each dispatcher on the whole of the room; Watch.AGAIN_S, a fixed pause. Change: the list's live weights tell the load of runners that are seldom met; what is known of the others turns into what they have elsewhere; each dispatcher claims a part of the room, the larger the fewer others lie nearer on the ring, and gives up its part of what is over; a cold runner's budget holds against chance instead of being a fixed part; a watch is opened again after 0.25 s or 75 ms for each dispatcher, doubled twice, with a spread, and the first one too where a list is known.

--- a/grebestack/core/interface.py
+++ b/grebestack/core/interface.py
@@ -161,6 +161,7 @@
     cross_zone_price: float = 0.0
     late_fail_price: float = 0.0
     worth_by_work: bool = False
+    live_weights: bool = False  # the list's weights fall the more requests a worker holds
     report_fields: frozenset[str] = frozenset()  # active, waiting, cpu, run_ms, free_slots ...
     tick_ms: float = 1.0
     script: Mapping[str, Tag] | None = None  # by class name, and "default"; None: the built-in one
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -22,10 +22,9 @@
 RANK_MS = 1000.0  # the queue's order is renewed after this, never per request
 RAISE_MS = 2000.0  # after an overdue start the worker's ceiling stays for about this long
 MAX_DOUBLINGS = 5  # back-offs double at most this often
-COLD_PRESSURE = 0.3  # the part of the allowed pressure on a cold worker that all dispatchers use together
+COLD_CHANCE = 2.5  # a cold worker's budget, of all dispatchers together, holds against so many deviations
 RING_STEP = 0.618034  # golden ratio: any run of dispatcher numbers spreads evenly over the ring
 REPORT_LAG_MS = 500.0  # a load report shows a worker as it was about so long before it came
-REPORT_KEEP_MS = 1000.0  # what a report shows of the other dispatchers' jobs fades within this
 CRASH_BREAKS = 2  # so many broken connections without one good end between them mean a crash
 PACE_SHARE = 0.2  # of each job in its worker's pace
 PACE_MOST = 4.0  # a job counts no slower than this: one that is heavy says little of its worker
@@ -93,14 +92,14 @@
         self.orders: dict[OrderKey, list[WorkerView]] = {}
         self.barren: dict[OrderKey, tuple[float, float]] = {}  # no room before a time, for so many slots
         self.ring = settings.dispatcher * RING_STEP % 1.0
-        self.learned = state.Learned([job_class.aim_ms for job_class in settings.classes], settings.tick_ms)
+        self.learned = state.Learned([c.aim_ms for c in settings.classes], settings.tick_ms, self.random)
         self.shares = [state.TokenBucket() for _ in settings.tenants]
         self.actions: list[api.Action] = []
         self.agenda = state.Agenda()
         self.list_failures = 0
         self.saved: tuple[WorkerView, Request] | None = None  # a worker that is kept for an aged request
         self.typical_pace, self.typical_errors = 1.0, [0.0] * len(settings.classes)
-        self.scanning = self.begun = False
+        self.scanning, self.begun, self.zones = False, False, 1
         self.rules: dict[str, Callable[[WorkerView, Request, float | None], bool]] = {
             "max_concurrent_invocations": self._concurrency_reached,
             "capacity_used": self._capacity_used, "overload": self._overloaded,
@@ -152,6 +151,8 @@
                 self._restarted(view, entry.started_ms)
             # Rule 3: a worker that is not ready takes nothing new; no use is made of the grace.
             changed = view.relist(entry) or changed
+            if self.settings.live_weights and "free_slots" in self.settings.report_fields:
+                view.note_weight(self.now, REPORT_LAG_MS, self.learned)
         if changed:
             self.orders.clear()
             self.barren.clear()
@@ -159,6 +160,7 @@
 
     def _restarted(self, view: WorkerView, since_ms: float | None) -> None:
         view.ceiling, view.strikes, view.full_until, view.breaks, view.free = 1.0, 0, 0.0, 0, {}
+        view.told_ms = 0.0
         view.pace, view.failing, view.trials = 1.0, {}, 0
         view.warm_at = 0.0 if since_ms is None else since_ms + self.settings.warm_within_ms
         if view.warm_at > self.now:
@@ -169,7 +171,10 @@
         s = self.settings
         gain = (1.0 - s.cold_from) / max(1.0, s.warm_within_ms)  # of warmth, a millisecond
         warmth = min(1.0, 1.0 - (view.warm_at - self.now) * gain)
-        budget = self.learned.kind_slots.get(view.entry.kind, 1.0) * s.fall_multiple * COLD_PRESSURE
+        budget = self.learned.kind_slots.get(view.entry.kind, 1.0) * s.fall_multiple
+        # So many jobs may come in the rule's window; when m are meant, m + c * sqrt(m) come by chance.
+        most = warmth * budget * s.fall_window_ms / (slots * run_ms)
+        budget *= (math.sqrt(COLD_CHANCE**2 + 4.0 * most) - COLD_CHANCE) ** 2 / (4.0 * most)
         # What the budget grows by while it warms counts too: among many dispatchers a turn drawn from the
         # warmth of now would come after the worker has long been warm.
         turn = self.random.expovariate(1.0) * slots * run_ms * s.siblings / budget
@@ -180,9 +185,11 @@
     def _rerank(self) -> None:
         self.agenda.add(self.now + RANK_MS, self._rerank)
         self.orders.clear()  # some worker may have become warm, or sluggish
+        self.zones = len({view.entry.zone for view in self.workers.values()})
         for view in self.workers.values():
             view.age(self.now, PACE_MOST)
         ready = [view for view in self.workers.values() if view.ready]
+        self.learned.share_out([v for v in ready if v.warm_at <= self.now], self.now)
         self.typical_pace = max(1.0, state.middle(view.pace for view in ready))
         for index in range(len(self.typical_errors)):
             self.typical_errors[index] = state.middle(view.failing.get(index, 0.0) for view in ready)
@@ -207,10 +214,9 @@
             if block.workers == ("*",):
                 order.sort(key=lambda v: (v.spot, v.entry.worker))
                 if block.strategy == "best_first":
-                    apart = {v: abs(i / len(order) - self.ring) for i, v in enumerate(order)}
-                    order.sort(key=lambda v: (
-                        v.warm_at > self.now, self._slower(v, SLUGGISH), min(apart[v], 1.0 - apart[v])
-                    ))
+                    for place, view in enumerate(order):
+                        view.stand(abs(place / len(order) - self.ring), self.settings.siblings, self.zones)
+                    order.sort(key=lambda v: (v.warm_at > self.now, self._slower(v, SLUGGISH), v.apart))
             self.orders[key] = order
         return order
 
@@ -248,24 +254,22 @@
         return view.used + request.asked.slots > limit or view.memory + request.asked.memory > limit
 
     def _capacity_used(self, view: WorkerView, request: Request, share: float | None) -> bool:
-        if "free_slots" not in view.free:
+        if not view.told_ms:
             return self._concurrency_reached(view, request, None)
-        taken, _ = view.taken(self.now, REPORT_KEEP_MS)
-        return taken + request.asked.slots > (share or 1.0) * self._slots(view)
-
-    def _slots(self, view: WorkerView) -> float:
-        """Fewer than it shows where it is sluggish: a neighbour has taken some of its cores."""
+        # Fewer slots than it shows where it is sluggish: a neighbour has taken some of its cores.
         fewer = view.pace / (SLUGGISH * self.typical_pace) if view.jobs else 1.0
-        return view.seen_free / max(1.0, fewer)
+        slots = (share or 1.0) * view.seen_free / max(1.0, fewer)
+        asked = request.asked.slots
+        return view.used + asked > view.claim(slots, asked, self.now, self.learned)
 
     def _overloaded(self, view: WorkerView, request: Request, slots: float | None) -> bool:
         if self.settings.tells_start:
             return view.unstarted > 0 or self.now < view.full_until
-        if "free_slots" not in view.free:
+        if not view.told_ms:
             return self._concurrency_reached(view, request, slots)
-        taken, memory = view.taken(self.now, REPORT_KEEP_MS)
-        short_of_memory = "free_memory" in view.free and view.seen_memory - memory < request.asked.memory
-        return self._slots(view) - taken < request.asked.slots or short_of_memory
+        memory = view.memory + view.others_now(self.now, self.learned)[1] + request.asked.memory
+        short = "free_memory" in view.free and memory > view.seen_memory
+        return short or self._capacity_used(view, request, 1.0)
 
     # Selection: the blocks from the top, then the followup.
 
@@ -556,6 +560,6 @@
             self._reported(view, event.report)
 
     def _reported(self, view: WorkerView, report: Mapping[str, float]) -> None:
-        view.note_report(report, self.settings.report_fields, self.now, REPORT_LAG_MS)
+        view.note_report(report, self.settings.report_fields, self.now, REPORT_LAG_MS, self.learned)
         if "free_slots" in view.free:  # guards a cold worker's budget from counting a single slot for ever
             self.learned.in_work(view.entry.kind, view.seen_free)
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -9,6 +9,7 @@
 from hashlib import blake2b
 from itertools import islice
 from math import gcd
+from random import Random
 
 from grebestack.core.interface import (
     Block,
@@ -21,6 +22,8 @@
 )
 
 REPORT_SHARE = 0.3  # of each report in what the others are taken to have
+KEEP_MS = 2000.0  # what the others have at one worker is forgotten within this, about three running times
+MOST_LOAD = 16.0  # a weight of the list shows no more requests for each slot than so many
 REMEMBERED_MS = 1500.0  # a report may show an attempt that ended so long ago
 
 
@@ -41,12 +44,14 @@
 
     SHARE = 0.02  # of each sample
 
-    def __init__(self, aims_ms: Sequence[float], tick_ms: float) -> None:
-        self.tick_ms = tick_ms
+    def __init__(self, aims_ms: Sequence[float], tick_ms: float, chance: Random) -> None:
+        self.tick_ms, self.chance = tick_ms, chance
         self.run_ms = list(aims_ms)  # running time by class; the aim is the first guess
         self.slots = [1.0] * len(aims_ms)  # slots by class
         self.worth = 1.0  # of a request
         self.kind_slots: dict[int, float] = {}  # most slots seen at once on one worker of a kind
+        self.kind_weight: dict[int, float] = {}  # the highest weight in the list for a kind: its size
+        self.others = (0.0, 0.0)  # slots and memory that the other dispatchers have at a worker on the whole
         self.start_ms = {True: tick_ms, False: tick_ms}  # a prompt start, in the own zone or another
 
     def arrival(self, index: int, slots: float, worth: float) -> None:
@@ -54,10 +59,22 @@
         self.worth += self.SHARE * (worth - self.worth)
         self.slots[index] += self.SHARE * (slots - self.slots[index])
 
+    def job_slots(self) -> float:
+        """Slots of a job on the whole."""
+        return sum(self.slots) / len(self.slots)
+
     def ran(self, index: int, run_ms: float) -> None:
         """A job ended well after running for so long."""
         self.run_ms[index] += self.SHARE * (run_ms - self.run_ms[index])
 
+    def share_out(self, views: Sequence[WorkerView], now: float) -> None:
+        """Learn what the others have at a worker on the whole, from those that told their load lately."""
+        lately = [view for view in views if view.told_ms > now - KEEP_MS]
+        if lately:
+            slots = sum(view.others for view in lately) / len(lately)
+            memory = sum(view.others_memory for view in lately) / len(lately)
+            self.others = max(0.0, slots), max(0.0, memory)
+
     def start(self, own_zone: bool, delay_ms: float) -> None:
         """A job started, or did not, after so long.
 
@@ -98,8 +115,12 @@
     warm_at: float = 0.0
     cold_next: float = 0.0  # while cold: no send before this
     free: Mapping[str, float] = field(default_factory=dict)  # the last report
-    report_ms: float = 0.0  # when it came
+    told_ms: float = 0.0  # when a report, or the list, last told its load; 0: never
     out: list[Attempt] = field(default_factory=list)  # ours, with those that ended a short while ago
+    ours: float = 0.0  # slots of ours at that time
+    luck: float = 1.0  # by which a part of a slot is rounded, up to the next word
+    apart: float = 0.0  # how far it lies from this dispatcher on the ring, 0 to 0.5
+    rivals: float = 0.0  # how many other dispatchers lie nearer, about
     others: float = 0.0  # slots that the other dispatchers had taken there
     others_memory: float = 0.0
     seen_memory: float = 0.0  # most free memory ever reported
@@ -136,36 +157,84 @@
         self.failing[index] = known + share * (1.0 - known) if share else known / 2
 
     def note_report(
-        self, report: Mapping[str, float], fields: frozenset[str], now: float, lag_ms: float
+        self, report: Mapping[str, float], fields: frozenset[str], now: float, lag_ms: float, learned: Learned
     ) -> None:
         """Keep a load report that tells free slots, where the settings list that field.
 
         What it shows beyond our own attempts of that time is what the other dispatchers have there.
         """
         if "free_slots" in report and "free_slots" in fields:
-            free = {name: value for name, value in report.items() if name in fields}
-            then = now - lag_ms
-            shown = [a for a in self.out if a.sent_ms <= then < a.ended_ms]
-            # Guards against jobs of ours that ended meanwhile and would pass for the others': what is over or
-            # under is evened out over some reports before it counts, for a single one is old and noisy.
-            share = REPORT_SHARE if self.free else 1.0
-            self.free, self.report_ms = free, now
-            self.seen_free = max(self.seen_free, free["free_slots"])
-            self.seen_memory = max(self.seen_memory, free.get("free_memory", 0.0))
-            over = self.seen_free - free["free_slots"] - sum(a.slots for a in shown)
-            self.others += share * (over - self.others)
-            taken = self.seen_memory - free.get("free_memory", self.seen_memory)
-            self.others_memory += share * (taken - sum(a.memory for a in shown) - self.others_memory)
+            self.free = {name: value for name, value in report.items() if name in fields}
+            self.seen_free = max(self.seen_free, self.free["free_slots"])
+            self.seen_memory = max(self.seen_memory, self.free.get("free_memory", 0.0))
+            slots = self.seen_free - self.free["free_slots"]
+            if slots >= self.seen_free - 1.0:  # full: what waits there counts as well
+                slots = max(slots, self.free.get("active", 0.0) * learned.job_slots())
+            memory = self.seen_memory - self.free.get("free_memory", self.seen_memory)
+            self._told(slots, memory, now, lag_ms, learned)
         self.out = [a for a in self.out if a.ended_ms > now - REMEMBERED_MS]
 
-    def taken(self, now: float, keep_ms: float) -> tuple[float, float]:
-        """Slots and memory in use: ours, as we know them, and the others', which fade as the report ages.
+    def note_weight(self, now: float, lag_ms: float, learned: Learned) -> None:
+        """Keep what a weight of the list tells that falls the more requests a worker holds.
 
-        The fading guards against a worker that showed itself full once and, with nothing of ours on it, would
+        Such a weight is its size divided by 1 + what it holds for each of its slots. It is the only word of
+        the workers that this dispatcher seldom meets, and the same for all dispatchers.
+        """
+        size = learned.kind_weight[self.entry.kind] = max(
+            learned.kind_weight.get(self.entry.kind, 0.0), self.entry.weight
+        )
+        slots = learned.kind_slots.get(self.entry.kind)
+        if slots is None:  # guards a restarted dispatcher from taking every worker for one of a single slot
+            return
+        self.seen_free = max(self.seen_free, slots)
+        load = min(MOST_LOAD, size / max(self.entry.weight, 1e-9) - 1.0)
+        self._told(load * slots * learned.job_slots(), None, now, lag_ms, learned)
+
+    def _told(self, slots: float, memory: float | None, now: float, lag_ms: float, learned: Learned) -> None:
+        then = now - lag_ms
+        shown = [a for a in self.out if a.sent_ms <= then < a.ended_ms]
+        # Guards against jobs of ours that ended meanwhile and would pass for the others': what is over or
+        # under is evened out over some words before it counts, for a single one is old and noisy; the more so
+        # the less time lies between them.
+        part = self._fresh(now)
+        share = max(REPORT_SHARE, 1.0 - part) if self.told_ms else 1.0
+        self.others, self.others_memory = self.others_now(now, learned)
+        self.others += share * (slots - sum(a.slots for a in shown) - self.others)
+        if memory is not None:
+            self.others_memory += share * (memory - sum(a.memory for a in shown) - self.others_memory)
+        self.ours, self.luck, self.told_ms = sum(a.slots for a in shown), learned.chance.random(), now
+
+    def _fresh(self, now: float) -> float:
+        return max(0.0, 1.0 - (now - self.told_ms) / KEEP_MS)
+
+    def others_now(self, now: float, learned: Learned) -> tuple[float, float]:
+        part, (slots, memory) = self._fresh(now), learned.others
+        return part * self.others + (1.0 - part) * slots, part * self.others_memory + (1.0 - part) * memory
+
+    def stand(self, apart: float, siblings: int, zones: int) -> None:
+        """Note how far from this dispatcher's place on the ring it lies, and how many others lie nearer."""
+        self.apart = min(apart, 1.0 - apart)
+        near = (siblings - 1) / max(1, zones)
+        far = near + 2.0 * self.apart * (siblings - 1 - near)
+        self.rivals = 2.0 * self.apart * near if self.own_zone else far
+
+    def claim(self, slots: float, asked: float, now: float, learned: Learned) -> float:
+        """So many of its slots are ours to fill: what we had when its load was told, and a part of its room.
+
+        What is known of the others turns into what they have at workers on the whole as it ages. It must not
+        All dispatchers see the same room, late. So each claims its part of it, the larger the fewer others
+        lie nearer, rounded at random; and where more is held than fits, each gives up its part of that.
         never report again.
+
+        All dispatchers see the same room, late. So each claims its part of it, the larger the fewer others
+        lie nearer, rounded at random; and where more is held than fits, each gives up its part of that.
         """
-        part = max(0.0, 1.0 - (now - self.report_ms) / keep_ms)
-        return self.used + max(0.0, self.others) * part, self.memory + max(0.0, self.others_memory) * part
+        others = max(0.0, self.others_now(now, learned)[0])
+        room = slots - self.ours - others
+        if room <= 0.0:
+            return self.ours * slots / (self.ours + others) + self.luck * asked
+        rivals = 0.0 if self.warm_at > now else self.rivals  # a cold worker's turns are shared out already
+        return self.ours + min(room, room / (1.0 + rivals) + self.luck * asked)
 
 
 @dataclass(slots=True, eq=False)
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -111,7 +111,8 @@
         if source == "list":
             self.loop.call_soon(listings[0].update, ListKind.FULL, servers)
             return None
-        return Watch(self.loop, config.discovery, self.reader, listings[0], follows)
+        siblings = config.settings.siblings
+        return Watch(self.loop, config.discovery, self.reader, listings[0], follows, siblings)
 
     async def _start_drmaa(self, config: DrmaaConfig) -> None:
         from grebestack.program import appliance  # only here: the platform's memory has no room for it
@@ -129,7 +130,9 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.known and isinstance(self.watch, Watch):
             self.watch.known(self.config.known)
-        if self.watch is not None:
+        if isinstance(self.watch, Watch):
+            self.watch.begin()
+        elif self.watch is not None:
             self.watch.start()
         if self.config.drmaa is not None:
             await self._start_drmaa(self.config.drmaa)
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 import time
 from collections.abc import Mapping
 from typing import Any
@@ -18,7 +19,11 @@
 log = logging.getLogger(__name__)
 STATES = {"Ready": WorkerState.READY, "Terminating": WorkerState.DRAINING, "Gone": WorkerState.GONE}
 SILENCE_S = 2.6  # a line comes every 2 s at the least
-AGAIN_S = 0.25  # after a watch has ended
+# After a watch has ended, the next is opened after about so long: 0.25 s for a few dispatchers, and more for
+# many, so that all of them together ask some 13 times a second. Doubled while none says a word, twice.
+AGAIN_S = 0.25
+AGAIN_EACH_S = 0.075  # for each dispatcher of the fleet
+DOUBLINGS = 2
 CONNECT_S = 1.0
 
 
@@ -68,21 +73,34 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, address: Address, reader: ListReader, table: Listing,
-        follows: Watch | None = None,
+        follows: Watch | None = None, siblings: int = 1,
     ) -> None:
+        self.pause_s = max(AGAIN_S, AGAIN_EACH_S * siblings)
         self.loop, self.address, self.reader, self.table = loop, address, reader, table
         self.follows = follows  # the watch of another address, ended once this one has told its list
         self.version = 0  # an address counts its own versions: the first question asks for the whole list
         self.stream: LineStream | None = None
-        self.stopped = False
+        self.stopped = self.listed = False
+        self.failures = 0  # watches in a row that ended without a line
         self.task: asyncio.Task[None] | None = None
         self.watchdog: asyncio.TimerHandle | None = None
 
     def known(self, raw: Mapping[str, Any]) -> None:
         """Take the list that was held before the start; it may be old."""
         self.version, _, servers = self.reader.message(raw)
+        self.listed = bool(servers)
         self.table.update(ListKind.CACHED, servers)
 
+    def begin(self) -> None:
+        """Open the first watch: at once, or spread where many dispatchers may start at once.
+
+        One that knows no list asks at once, for it can serve nobody.
+        """
+        if self.pause_s > AGAIN_S and self.listed:
+            self.loop.call_later(random.uniform(0.0, self.pause_s), self.start)
+        else:
+            self.start()
+
     def start(self) -> None:
         """Open the watch. Its one task is that of its connection."""
         if not self.stopped:
@@ -143,11 +161,16 @@
         if self.watchdog is not None:
             self.watchdog.cancel()
         if not self.stopped:
-            log.info("watch_ended", extra={"kv": {"rev": self.version}})
-            self.loop.call_later(AGAIN_S, self.start)
+            # Guards discovery against all dispatchers of a fleet that was restarted: at one fixed pause they
+            # come back together, and more often than it can answer, so that none of them gets a list.
+            pause = self.pause_s * 2.0**self.failures * random.uniform(0.5, 1.5)
+            self.failures = min(self.failures + 1, DOUBLINGS)
+            log.info("watch_ended", extra={"kv": {"rev": self.version, "again_s": pause}})
+            self.loop.call_later(pause, self.start)
 
     def _line(self, line: bytes) -> None:
         self._heard()
+        self.failures = 0
         if not line.strip():
             self.table.heard()
             return
--- a/grebestack/protocol/settings.py
+++ b/grebestack/protocol/settings.py
@@ -137,6 +137,7 @@
         cross_zone_price=optional(prices, "crossZone"),
         late_fail_price=optional(prices, "lateFail"),
         worth_by_work=options.get("worthBy") == "work",
+        live_weights=options.get("weights") == "live",
         report_fields=frozenset(names.get(name, name) for name in fields),
         tick_ms=optional(options, "tickMs", 1.0),
     )
