Let a job wait at a runner for half its class's aim

Change: the capacity_used block counts so many slots more as jobs start within half of the class's aim; a block that names its own threshold keeps to it.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -32,6 +32,7 @@
 SLOW = 2.5  # and one this much slower only trials
 TRIAL = 4.0  # an ill worker's next trial comes after so many running times, doubled each time
 ERROR_SHARE = 0.3  # of each error in its worker's share of them
+AHEAD = 0.5  # of its class's aim a job may wait at a worker: word of a free slot comes too late to fill it
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
 
@@ -258,8 +259,8 @@
             return self._concurrency_reached(view, request, None)
         # Fewer slots than it shows where it is sluggish: a neighbour has taken some of its cores.
         fewer = view.pace / (SLUGGISH * self.typical_pace) if view.jobs else 1.0
-        slots = (share or 1.0) * view.seen_free / max(1.0, fewer)
-        asked = request.asked.slots
+        ahead = 0.0 if share else AHEAD * request.job_class.aim_ms / self.learned.run_ms[request.level[0]]
+        slots, asked = view.seen_free * ((share or 1.0) / max(1.0, fewer) + ahead), request.asked.slots
         return view.used + asked > view.claim(slots, asked, self.now, self.learned)
 
     def _overloaded(self, view: WorkerView, request: Request, slots: float | None) -> bool:
