Take odd weights, start times and fleet sizes as their defaults, logged once

Need: the list's weights and start times and the number of dispatchers now steer more than before: a start in the future made the warmth negative (a fault in the square root), a weight that is no number would have stayed in what is believed of a runner for ever. Change: a weight or start that is missing, null, negative or not finite counts as 1 and as long ago, a start that is to come as one of now, a number of dispatchers under 1 or not finite as 1; bad_list_value and bad_setting say so once for each field. Measured: the test feeds 49 entries of odd figures twice; none is lost, none restarts again, nothing raises.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -163,7 +163,7 @@
         view.ceiling, view.strikes, view.full_until, view.breaks, view.free = 1.0, 0, 0.0, 0, {}
         view.told_ms = 0.0
         view.pace, view.failing, view.trials = 1.0, {}, 0
-        view.warm_at = 0.0 if since_ms is None else since_ms + self.settings.warm_within_ms
+        view.warm_at = 0.0 if since_ms is None else min(since_ms, self.now) + self.settings.warm_within_ms
         if view.warm_at > self.now:
             self._cold_wait(view, 1.0, sum(self.learned.run_ms) / len(self.learned.run_ms))
 
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -180,6 +180,8 @@
         Such a weight is its size divided by 1 + what it holds for each of its slots. It is the only word of
         the workers that this dispatcher seldom meets, and the same for all dispatchers.
         """
+        if not 0.0 < self.entry.weight < float("inf"):
+            return
         size = learned.kind_weight[self.entry.kind] = max(
             learned.kind_weight.get(self.entry.kind, 0.0), self.entry.weight
         )
@@ -187,7 +189,7 @@
         if slots is None:  # guards a restarted dispatcher from taking every worker for one of a single slot
             return
         self.seen_free = max(self.seen_free, slots)
-        load = min(MOST_LOAD, size / max(self.entry.weight, 1e-9) - 1.0)
+        load = min(MOST_LOAD, size / self.entry.weight - 1.0)
         self._told(load * slots * learned.job_slots(), None, now, lag_ms, learned)
 
     def _told(self, slots: float, memory: float | None, now: float, lag_ms: float, learned: Learned) -> None:
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 import random
 import time
 from collections.abc import Mapping
@@ -25,6 +26,7 @@
 AGAIN_EACH_S = 0.075  # for each dispatcher of the fleet
 DOUBLINGS = 2
 CONNECT_S = 1.0
+CLOCKS_MS = 2000.0  # a server's clock may be so much ahead of ours
 
 
 def address_of(text: str) -> Address:
@@ -40,19 +42,35 @@
 
     def __init__(self, options: Mapping[str, Any]) -> None:
         self.places = Places(options)
+        self.told: set[str] = set()  # fields of which an odd value has been logged
         # Fixed once: the decision module tells a restart by a start time that differs from the one before.
         self.unix_to_clock_ms = (time.monotonic() - time.time()) * 1000.0
 
+    def _figure(self, raw: Mapping[str, Any], name: str, default: float) -> float:
+        """A figure of an entry; one that is missing, null, negative or no finite number is the default."""
+        value = float(default if raw.get(name) is None else raw[name])
+        if not (math.isfinite(value) and value >= 0.0):
+            self._odd(name, value, default)
+            return default
+        return value
+
+    def _odd(self, name: str, value: float, taken: object) -> None:
+        if name not in self.told:
+            self.told.add(name)
+            log.warning("bad_list_value", extra={"kv": {"field": name, "value": value, "taken_as": taken}})
+
     def server(self, raw: Mapping[str, Any]) -> Server:
         """One entry; ValueError, KeyError or TypeError if it is malformed."""
-        boot_ms = float(raw.get("boot_ms") or 0.0)
+        boot_ms = self._figure(raw, "boot_ms", 0.0)
+        if boot_ms > time.time() * 1000.0 + CLOCKS_MS:
+            self._odd("boot_ms", boot_ms, "now")  # the module counts a start to come as one of now
         entry = WorkerEntry(
             worker=str(raw["uid"]),
             zone=self.places.zone(str(raw.get("az")), -1),
             kind=self.places.kind(str(raw.get("model"))),
             cell=int(raw.get("pod_group") or 0),
             state=STATES[raw["state"]],
-            weight=float(raw.get("capacity_hint") or 1.0),
+            weight=self._figure(raw, "capacity_hint", 1.0) or 1.0,
             started_ms=boot_ms + self.unix_to_clock_ms if boot_ms > 0 else None,
         )
         return Server(entry, address_of(raw["endpoint"]))
--- a/grebestack/protocol/settings.py
+++ b/grebestack/protocol/settings.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import logging
+import math
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
 from grebestack.core import interface as api
 
+log = logging.getLogger(__name__)
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 REPORT_NAMES = {"avg_ms": "run_ms"}
 EXTRA_REPORTS = {"free slots": "free_slots", "free memory": "free_memory"}
@@ -77,6 +80,15 @@
     return names
 
 
+def fleet_size(options: Raw) -> int:
+    """The number of dispatchers; one that is missing, null, no finite number or under 1 counts as 1."""
+    value = optional(options, "siblings", 1)
+    if math.isfinite(value) and value >= 1:
+        return int(value)
+    log.warning("bad_setting", extra={"kv": {"field": "siblings", "value": value, "taken_as": 1}})
+    return 1
+
+
 def settings_of(options: Raw) -> api.Settings:
     """Translate the options of a `begin` message."""
     extra: Raw = options.get("extra") or {}
@@ -110,7 +122,7 @@
     return api.Settings(
         classes=classes,
         dispatcher=int(optional(options, "me")),
-        siblings=int(optional(options, "siblings", 1)),
+        siblings=fleet_size(options),
         zone=int(optional(options, "zone")),
         tenants=tuple(
             api.Tenant(str(tenant.get("name", "")), optional(tenant, "allowancePerS"))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
 
 from grebestack.core import interface as api
 from grebestack.protocol.discovery import ListReader, Watch
+from grebestack.protocol.settings import settings_of
 from grebestack.routing.session import Dispatch
 from grebestack.routing.table import ServerTable
 
@@ -180,3 +181,28 @@
     for watch in watches:
         watch._line(b"")  # heard: the next pause is short again
     assert all(watch.failures == 0 for watch in watches) and len(calls) == asked
+
+
+def test_odd_figures_of_the_list_and_the_settings_count_as_their_defaults(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    reader, table = ListReader({"models": ["c8"]}), ServerTable()
+    engine = Fleet(SimClock(), SETTINGS, 1, Machines(SimClock(), 1, 0, 8, lambda d, r: 1.0), 1, 1).engines[0]
+    table.on_change = engine.table.on_change
+    engine.policy.learned.in_work(0, 8.0)
+    odd = ("nan", "inf", "-inf", -4.0, None, 1e300)
+    for n, (weight, boot) in enumerate((w, b) for w in (*odd, 7.5) for b in (*odd, 0)):
+        raw = {"uid": f"s-{n}", "endpoint": "127.0.0.1:9", "state": "Ready", "model": "c8"}
+        for rev in (1, 2):  # a start that is to come must not count as a new one each time
+            figures = {"capacity_hint": weight and float(weight), "boot_ms": boot and float(boot)}
+            table.update(api.ListKind.CHANGES, reader.message({"rev": rev, "targets": [raw | figures]})[2])
+            for _ in range(2):
+                engine.policy.handle(engine.clock.now_ms(), api.TimerFired(0))
+    views = engine.policy.workers
+    assert len(views) == 49 and all(view.entry.weight > 0 for view in views.values())
+    assert len([r for r in caplog.records if r.message == "bad_list_value"]) == 2
+    assert all(view.warm_at <= engine.clock.now_ms() + SETTINGS.warm_within_ms for view in views.values())
+    for siblings in (None, -3, 0, float("nan"), float("inf")):
+        options = {"services": [{"name": "a", "aimMs": 1, "hardLimitMs": 2, "effect": "free"}]}
+        assert settings_of(options | {"siblings": siblings}).siblings == 1
+    engine.policy.handle(engine.clock.now_ms(), api.RequestArrived(1, 0, engine.clock.now_ms() + 5000.0))
