Count a tally's changes from the last line, not from the sum of all lines

Seen at the first use of benchmarks/fleet_counts.py. Change: the line is made by program/tally.py, a small piece without a clock. Measured: its test sums two dispatchers over three lines to 14 sessions; it fails with the former code.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -7,7 +7,6 @@
 import logging
 import signal
 import time
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -16,6 +15,7 @@
 
 from grebestack.core.interface import ListKind
 from grebestack.program.config import Config, ConfigError, DrmaaConfig
+from grebestack.program.tally import Tally
 from grebestack.protocol.discovery import ListReader, Watch
 from grebestack.protocol.platform import PlatformFront
 from grebestack.protocol.runners import Reports, Runners
@@ -91,7 +91,7 @@
         self.watch = self._source(config)
         self.jobs: JobService | None = None
         self.stopping = self.stopped = False
-        self.told: Counter[str] = Counter()  # what the last tally counted from
+        self.tally = Tally()
         self.done: asyncio.Future[None] = loop.create_future()
 
     def _source(self, config: Config, follows: Watch | None = None) -> Watch | ConsulSource | None:
@@ -187,14 +187,7 @@
             "dials": self.pools.tried, "not_up": self.pools.not_up,
             "list_calls": getattr(self.watch, "calls", 0),
         }
-        kv: dict[str, object] = {
-            name: value - self.told[name] for name, value in counts.items() if value != self.told[name]
-        }
-        self.told.update(counts)
-        for name, by_server in (("sent", sent), ("out", out)):
-            if by_server:
-                kv[name] = ",".join(f"{server}:{number}" for server, number in by_server.items())
-        if kv:
+        if kv := self.tally.pairs(counts, sent, out):
             log.info("tally", extra={"kv": kv})
 
     def _sweep(self, acceptor: Acceptor) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections import Counter, defaultdict
 from typing import Any, cast
 
 import pytest
+from fleet_counts import Counts
 from harness import Fleet, Machines, SimClock
 
 from grebestack.core import interface as api
+from grebestack.program.log import KeyValueFormatter
+from grebestack.program.tally import Tally
 from grebestack.protocol.discovery import ListReader, Watch
 from grebestack.protocol.settings import settings_of
 from grebestack.routing.session import Dispatch
@@ -206,3 +210,18 @@
         options = {"services": [{"name": "a", "aimMs": 1, "hardLimitMs": 2, "effect": "free"}]}
         assert settings_of(options | {"siblings": siblings}).siblings == 1
     engine.policy.handle(engine.clock.now_ms(), api.RequestArrived(1, 0, engine.clock.now_ms() + 5000.0))
+
+
+def test_the_tallies_of_two_dispatchers_add_up(capsys: pytest.CaptureFixture[str]) -> None:
+    counts = Counts()
+    for _ in range(2):
+        tally = Tally()
+        for sessions, out in ((3, 2), (7, 9), (7, 0)):
+            record = logging.makeLogRecord({"msg": "tally", "created": 1.8e9 + sessions})
+            record.kv = tally.pairs({"sessions": sessions, "ok": sessions}, {}, {"s-1": out} if out else {})
+            counts.line("0.281 " + KeyValueFormatter().format(record))
+    counts.line("ts=2026-12-01T00:00:00.000Z event=stats sessions=99")
+    figures = counts.table(8)
+    assert (figures["sessions"], figures["most_at_a_runner"]) == (14, 18)
+    rows = [line.split() for line in capsys.readouterr().out.splitlines()[1:]]
+    assert [(row[0], row[1], row[-1]) for row in rows] == [("0", "6", "0"), ("4", "8", "10")]
