Ask discovery at once after a start, and never pause longer than 4.5 s

Cause: the spread of the first call (Watch.begin, up to 3 s), and pauses that doubled to 18 s. Change: the first call goes at once; pauses are 3 s on average at the most, spread by a half.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -133,9 +133,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.known and isinstance(self.watch, Watch):
             self.watch.known(self.config.known)
-        if isinstance(self.watch, Watch):
-            self.watch.begin()
-        elif self.watch is not None:
+        if self.watch is not None:
             self.watch.start()
         if self.config.drmaa is not None:
             await self._start_drmaa(self.config.drmaa)
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -20,10 +20,12 @@
 log = logging.getLogger(__name__)
 STATES = {"Ready": WorkerState.READY, "Terminating": WorkerState.DRAINING, "Gone": WorkerState.GONE}
 SILENCE_S = 2.6  # a line comes every 2 s at the least
-# After a watch has ended, the next is opened after about so long: 0.25 s for a few dispatchers, and more for
-# many, so that all of them together ask some 13 times a second. Doubled while none says a word, twice.
+# After a watch has ended, the next is opened after about so long: 0.25 s for a few dispatchers, doubled while
+# none says a word, and more for many, so that all of them together ask some 13 times a second. The first is
+# opened at once, and no pause is longer than AGAIN_MOST_S: a drain counts as told after some seconds.
 AGAIN_S = 0.25
 AGAIN_EACH_S = 0.075  # for each dispatcher of the fleet
+AGAIN_MOST_S = 3.0
 DOUBLINGS = 2
 CONNECT_S = 1.0
 CLOCKS_MS = 2000.0  # a server's clock may be so much ahead of ours
@@ -98,7 +100,7 @@
         self.follows = follows  # the watch of another address, ended once this one has told its list
         self.version = 0  # an address counts its own versions: the first question asks for the whole list
         self.stream: LineStream | None = None
-        self.stopped = self.listed = False
+        self.stopped = False
         self.calls = 0  # of the list, since the start
         self.failures = 0  # watches in a row that ended without a line
         self.task: asyncio.Task[None] | None = None
@@ -107,19 +109,8 @@
     def known(self, raw: Mapping[str, Any]) -> None:
         """Take the list that was held before the start; it may be old."""
         self.version, _, servers = self.reader.message(raw)
-        self.listed = bool(servers)
         self.table.update(ListKind.CACHED, servers)
 
-    def begin(self) -> None:
-        """Open the first watch: at once, or spread where many dispatchers may start at once.
-
-        One that knows no list asks at once, for it can serve nobody.
-        """
-        if self.pause_s > AGAIN_S and self.listed:
-            self.loop.call_later(random.uniform(0.0, self.pause_s), self.start)
-        else:
-            self.start()
-
     def start(self) -> None:
         """Open the watch. Its one task is that of its connection."""
         if not self.stopped:
@@ -183,7 +174,7 @@
         if not self.stopped:
             # Guards discovery against all dispatchers of a fleet that was restarted: at one fixed pause they
             # come back together, and more often than it can answer, so that none of them gets a list.
-            pause = self.pause_s * 2.0**self.failures * random.uniform(0.5, 1.5)
+            pause = min(AGAIN_MOST_S, self.pause_s * 2.0**self.failures) * random.uniform(0.5, 1.5)
             self.failures = min(self.failures + 1, DOUBLINGS)
             log.info("watch_ended", extra={"kv": {"rev": self.version, "again_s": pause}})
             self.loop.call_later(pause, self.start)
