Send orders where a job ended well lately; repeatable jobs try the other runners

An error ends an order for good; a reading goes on elsewhere. Cause, Policy._pick: nothing told a runner that this dispatcher has not met lately from one that works. Change: an unsafe job takes the first valid worker of a block at which a job ended well within 1.5 s, and the first one of all where there is none. Only where some class may be repeated: else nobody would try.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -85,8 +85,7 @@
         self.settings = settings
         script = state.ResolvedScript(settings.script or built_in_script(settings), settings.classes)
         self.blocks, self.paths, self.refuses = script.blocks, script.paths, script.refuses
-        self.random = random.Random(seed)
-        self.now = 0.0
+        self.random, self.now = random.Random(seed), 0.0
         self.workers: dict[str, WorkerView] = {}
         self.requests = state.Ledger()
         self.held = state.HeldRequests()
@@ -97,7 +96,7 @@
         self.shares = [state.TokenBucket() for _ in settings.tenants]
         self.actions: list[api.Action] = []
         self.agenda = state.Agenda()
-        self.list_failures = 0
+        self.list_failures, self.triers = 0, any(c.effect is not Effect.UNSAFE for c in settings.classes)
         self.saved: tuple[WorkerView, Request] | None = None  # a worker that is kept for an aged request
         self.typical_pace, self.typical_errors = 1.0, [0.0] * len(settings.classes)
         self.scanning, self.begun, self.zones = False, False, 1
@@ -161,8 +160,7 @@
 
     def _restarted(self, view: WorkerView, since_ms: float | None) -> None:
         view.ceiling, view.strikes, view.full_until, view.breaks, view.free = 1.0, 0, 0.0, 0, {}
-        view.told_ms = 0.0
-        view.pace, view.failing, view.trials = 1.0, {}, 0
+        view.pace, view.failing, view.trials, view.told_ms, view.good_ms = 1.0, {}, 0, 0.0, 0.0
         view.warm_at = 0.0 if since_ms is None else min(since_ms, self.now) + self.settings.warm_within_ms
         if view.warm_at > self.now:
             self._cold_wait(view, 1.0, sum(self.learned.run_ms) / len(self.learned.run_ms))
@@ -304,7 +302,11 @@
             if not (rule(v, request, block.threshold) or self._unreachable(v, request) or request.out_at(v))
         )
         if block.strategy != "random":
-            return next(valid, None)
+            first = next(valid, None)
+            wary = self.triers and request.job_class.effect is Effect.UNSAFE  # others try workers out
+            if first and wary and not first.proven(self.now):
+                return next((v for v in valid if v.proven(self.now)), first)
+            return first
         pool = list(valid)
         return self.random.choice(pool) if pool else None
 
@@ -549,7 +551,7 @@
         # under one that works on must not make it count as cold.
         if view.breaks >= CRASH_BREAKS and attempt.sent_ms >= view.broke_ms:
             self._restarted(view, self.now)
-        view.strikes = view.breaks = 0
+        view.strikes, view.breaks, view.good_ms = 0, 0, self.now
         in_time = self.now - request.arrived_ms <= self._slack(request) + ran_ms
         if full and in_time and view.unstarted == 0 and self.now >= view.raise_after:
             view.ceiling += 1.0
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -23,6 +23,7 @@
 
 REPORT_SHARE = 0.3  # of each report in what the others are taken to have
 KEEP_MS = 2000.0  # what the others have at one worker is forgotten within this, about three running times
+PROOF_MS = 1500.0  # a good end so long ago, about two running times, speaks for a worker
 MOST_LOAD = 16.0  # a weight of the list shows no more requests for each slot than so many
 REMEMBERED_MS = 1500.0  # a report may show an attempt that ended so long ago
 
@@ -115,6 +116,7 @@
     warm_at: float = 0.0
     cold_next: float = 0.0  # while cold: no send before this
     free: Mapping[str, float] = field(default_factory=dict)  # the last report
+    good_ms: float = 0.0  # when a job ended well here
     told_ms: float = 0.0  # when a report, or the list, last told its load; 0: never
     out: list[Attempt] = field(default_factory=list)  # ours, with those that ended a short while ago
     ours: float = 0.0  # slots of ours at that time
@@ -141,6 +143,14 @@
         self.entry, self.ready = entry, entry.state is WorkerState.READY
         return was != (self.ready, entry.started_ms)
 
+    def proven(self, now: float) -> bool:
+        """Whether a job ended well here lately.
+
+        Guards orders, which an error ends for good, against a worker that has turned bad unmet: each of many
+        dispatchers would lose one to find it out, where a repeatable job can go on elsewhere.
+        """
+        return self.good_ms > now - PROOF_MS
+
     def ran(self, ratio: float, share: float) -> None:
         """A job ended well and took so many times as long as its class takes."""
         self.pace += share * (ratio - self.pace)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -260,7 +260,9 @@
         d.end(request, worker, api.Outcome.ERROR if ill else api.Outcome.OK, closed=True)
         d.wait(50)
     assert sent.count(sent[0]) <= 6
-    for _ in range(200):  # it is well again: the trials show it
+    for _ in range(200):  # it is well again: views show that it lives, then the trials that it is well
+        request, done = d.ask(VIEW)
+        d.end(request, sends(done)[0])
         request, done = d.ask(ORDER)
         (worker,) = sends(done)
         well = worker == sent[0]
@@ -363,3 +365,20 @@
     agenda.run(110.0, agenda.token)
     agenda.add(120.0, lambda: done.append("next"))
     assert done == ["sooner", "later"] and agenda.timer_needed() == 120.0
+
+
+def test_an_order_goes_where_a_job_ended_well_lately_and_a_view_tries_the_others() -> None:
+    # Guards orders against workers that have turned bad unmet: an error ends one for good, while a view can
+    # go on elsewhere. Each of many dispatchers would lose an order to find it out.
+    d = reporting(2)
+    first = sends(d.ask(VIEW)[1])[0]
+    other = next(name for name in d.policy.workers if name != first)
+    d.end(d.last, first)
+    assert sends(d.ask(ORDER)[1]) == [first]
+    d.end(d.last, first)
+    d.wait(2000)
+    d.policy.workers[other].good_ms = d.now
+    assert sends(d.ask(ORDER)[1]) == [other]
+    assert sends(d.ask(VIEW)[1]) == [first]
+    d.policy.workers[other].good_ms = 0.0
+    assert sends(d.ask(ORDER)[1]) == [first]
