Seed the pauses of the watch's test and have its refusals take a second

Cause: seen in a clean checkout, 135 calls where 133 are allowed: the test's discovery refused after 1 ms instead of 1 s, and the pauses came unseeded.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections import Counter, defaultdict
 from typing import Any, cast
 
@@ -165,8 +166,9 @@
     def refused(watch: Watch) -> None:
         calls.append(clock.now)
         asked_by[watches.index(watch)].append(clock.now)
-        clock.call_at(clock.now + 1.0, watch._ended)
+        clock.call_at(clock.now + 1000.0, watch._ended)
 
+    random.seed(count)  # the pauses are drawn from the process's own
     watches = list[Watch]()
     for _ in range(count):
         table = ServerTable()
