Go over the fleet change: one sum, one warmth, one replacement, and calls counted over a reload

Found on reading the whole change again: - a fault: the tally's list_calls was the newest watch's own count, so a reload (SIGHUP) that moved to another discovery told a negative number; a watch that follows another counts on from it, and the dispatcher asks for the count by the watch's type instead of a getattr; - our slots at the time of a report were summed twice for each report and each line of the list; - a cold machine's warmth and the replacement of a machine stood in the test or the measurement again beside harness.Machines; both call it now; - a comment named slot-ms where slots are kept, and a loop hid its condition.

--- a/benchmarks/fleet_counts.py
+++ b/benchmarks/fleet_counts.py
@@ -41,9 +41,10 @@
         second = int(datetime.fromisoformat(pairs["ts"].replace("Z", "+00:00")).timestamp())
         for name in SHOWN:
             self.seconds[second][name] += int(pairs.get(name, 0))
-        for part in pairs.get("out", "").split(",") if "out" in pairs else ():
-            server, _, number = part.rpartition(":")
-            self.out[second][server] += int(number)
+        if "out" in pairs:
+            for part in pairs["out"].split(","):
+                server, _, number = part.rpartition(":")
+                self.out[second][server] += int(number)
 
     def table(self, slots: int) -> dict[str, float]:
         """Print a row a second; returns the figures of the whole."""
@@ -84,8 +85,7 @@
         peak = max(peak, *(machines.held(name) for name in machines.free))
         for n in range(18):
             if f"s-{n}" in machines.zone and clock.now > 3000.0 + 300.0 * n:
-                machines.add(f"s-{n}-new", machines.zone[f"s-{n}"], clock.now)
-                machines.remove(f"s-{n}")
+                machines.replace(f"s-{n}")
     ends = fleet.counting.ends
     return {
         "sessions": fleet.number,
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -86,7 +86,7 @@
         self.silent: set[str] = set()  # cut off: nothing comes up, nothing comes back
         self.failing: set[str] = set()  # each job fails at once
         self.runs: dict[str, int] = {}
-        self.arrivals: list[tuple[float, str, float]] = []  # when, at which server, the work in slot-ms
+        self.arrivals: list[tuple[float, str, float]] = []  # when, at which server, how many slots
         self.tried: list[tuple[float, str]] = []  # sends to silent servers
         self.busy_ms = 0.0
         for n in range(count):
@@ -105,16 +105,21 @@
         """Take a server from the list; what it has runs to its end."""
         del self.zone[name]
 
+    def replace(self, name: str) -> None:
+        """A new machine, in the same zone, comes for an old one."""
+        self.add(f"{name}-new", self.zone[name], self.clock.now)
+        self.remove(name)
+
     def held(self, name: str) -> float:
         """Slots of what a server runs and keeps waiting."""
         waiting = sum(dispatch.session.asked.slots for _, dispatch in self.queues[name])
         return self.slots - self.free[name] + waiting
 
-    def warmth(self, name: str, settings: api.Settings) -> float:
-        """The part of its speed that a server has."""
+    def warmth(self, name: str, settings: api.Settings, at_ms: float) -> float:
+        """The part of its speed that a server has at a time."""
         if name not in self.started:
             return 1.0
-        age = (self.clock.now - self.started[name]) / max(1.0, settings.warm_within_ms)
+        age = (at_ms - self.started[name]) / max(1.0, settings.warm_within_ms)
         return min(1.0, settings.cold_from + (1.0 - settings.cold_from) * age)
 
     def entries(self) -> tuple[Server, ...]:
@@ -165,7 +170,7 @@
             self.runs[call_id] = self.runs.get(call_id, 0) + 1
             took = self.run_ms(dispatch, self.random)
             self.busy_ms += took * dispatch.session.asked.slots
-            took /= self.warmth(name, port.engine.settings)
+            took /= self.warmth(name, port.engine.settings, self.clock.now)
             self.clock.call_at(self.clock.now + took, partial(self._end, port, dispatch))
 
     def _end(self, port: SimServers, dispatch: Dispatch) -> None:
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -205,16 +205,17 @@
     def _told(self, slots: float, memory: float | None, now: float, lag_ms: float, learned: Learned) -> None:
         then = now - lag_ms
         shown = [a for a in self.out if a.sent_ms <= then < a.ended_ms]
+        self.ours = sum(a.slots for a in shown)
         # Guards against jobs of ours that ended meanwhile and would pass for the others': what is over or
         # under is evened out over some words before it counts, for a single one is old and noisy; the more so
         # the less time lies between them.
         part = self._fresh(now)
         share = max(REPORT_SHARE, 1.0 - part) if self.told_ms else 1.0
         self.others, self.others_memory = self.others_now(now, learned)
-        self.others += share * (slots - sum(a.slots for a in shown) - self.others)
+        self.others += share * (slots - self.ours - self.others)
         if memory is not None:
             self.others_memory += share * (memory - sum(a.memory for a in shown) - self.others_memory)
-        self.ours, self.luck, self.told_ms = sum(a.slots for a in shown), learned.chance.random(), now
+        self.luck, self.told_ms = learned.chance.random(), now
 
     def _fresh(self, now: float) -> float:
         return max(0.0, 1.0 - (now - self.told_ms) / KEEP_MS)
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -183,7 +183,7 @@
         sent, out = self.engine.tally()
         counts = dict(self.engine.counts) | {
             "dials": self.pools.tried, "not_up": self.pools.not_up,
-            "list_calls": getattr(self.watch, "calls", 0),
+            "list_calls": self.watch.calls if isinstance(self.watch, Watch) else 0,
         }
         if kv := self.tally.pairs(counts, sent, out):
             log.info("tally", extra={"kv": kv})
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -101,7 +101,7 @@
         self.version = 0  # an address counts its own versions: the first question asks for the whole list
         self.stream: LineStream | None = None
         self.stopped = False
-        self.calls = 0  # of the list, since the start
+        self.calls: int = follows.calls if follows is not None else 0  # since the start
         self.failures = 0  # watches in a row that ended without a line
         self.task: asyncio.Task[None] | None = None
         self.watchdog: asyncio.TimerHandle | None = None
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -57,11 +57,10 @@
     def pushed(self) -> float:
         """The most that a cold machine got in a window, as a part of what the rule allows without slack."""
         most, window = 0.0, SETTINGS.fall_window_ms
-        for name, started in self.machines.started.items():
+        for name in self.machines.started:
             came = [(at, slots) for at, server, slots in self.machines.arrivals if server == name]
             for at, _ in came:
-                age = (at - started) / SETTINGS.warm_within_ms
-                warmth = min(1.0, SETTINGS.cold_from + (1.0 - SETTINGS.cold_from) * age)
+                warmth = self.machines.warmth(name, SETTINGS, at)
                 work = sum(slots * RUN_MS for then, slots in came if at <= then < at + window)
                 most = max(most, work / (SETTINGS.fall_multiple * warmth * SLOTS * window))
         return most
@@ -69,8 +68,7 @@
     def replace(self, names: list[str]) -> None:
         """New machines come for old ones."""
         for name in names:
-            self.machines.add(f"{name}-new", self.machines.zone[name], self.clock.now)
-            self.machines.remove(name)
+            self.machines.replace(name)
 
 
 def answered(day: Day) -> float:
@@ -191,6 +189,8 @@
     for watch in watches:
         watch._line(b"")  # heard: the next pause is short again
     assert all(watch.failures == 0 for watch in watches) and len(calls) == asked
+    watch.calls = 7  # a reload moves on to another watch: the tally counts from the start of the program
+    assert Watch(loop, ("127.0.0.1", 2), ListReader({}), table, follows=watch).calls == 7
 
 
 def test_odd_figures_of_the_list_and_the_settings_count_as_their_defaults(
