A door for operators: cordon, uncordon, quiesce, resume and health, one line each

Change: control/ (pure calls, callback listener), bans beside the list in routing/table.py, program/life.py as the one state from which readiness and clients' connections follow, for quiesce and for SIGTERM; Acceptor.lead in place of drain. A request that has begun is awaited where connections are led out. Probes look at the table before their first byte.

Ruled out: closing clients at once on quiesce, since the front deals out connections for 0.2 s after a no.

--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -108,6 +108,7 @@
     servers: ServerSource = field(default_factory=ServerSource)
     drmaa: DrmaaConfig | None = None
     platform: bool = True  # whether jobs are taken at `listen`, besides call-backs
+    control: Address | None = None  # where operators call; None: nowhere
     membership: MembershipConfig | None = None  # None: discovery feeds the server table itself
 
 
@@ -122,6 +123,17 @@
         raise ConfigError(f"{path}: not UTF-8") from error
 
 
+def _control(raw: Any) -> Address | None:
+    if raw is None or raw == "":
+        return None
+    if not isinstance(raw, str):
+        raise ValueError(f"control must be HOST:PORT, not {raw!r}")
+    try:
+        return address_of(raw)
+    except ValueError as error:
+        raise ValueError(f"control must be HOST:PORT: {error}") from error
+
+
 def from_platform(environ: Mapping[str, str] = os.environ) -> Config:
     """Read the file that RELAY_CONFIG names; the other variables go before it."""
     path = environ.get("RELAY_CONFIG")
@@ -145,6 +157,7 @@
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int((raw.get("limits") or {}).get("sockets", 1024)),
             known=raw.get("known") or {},
+            control=_control(environ.get("RELAY_CONTROL") or raw.get("control")),
         )
     except KeyError as error:
         raise ConfigError(f"{path}: lacks {error}") from error
@@ -279,7 +292,8 @@
         raise ConfigError(f"{path}: not TOML: {error}") from error
     try:
         known = {
-            "name", "listen", "platform", "sockets", "servers", "membership", "drmaa", "jobs", "settings",
+            "name", "listen", "control", "platform", "sockets", "servers", "membership", "drmaa", "jobs",
+            "settings",
         }
         if unknown := sorted(set(raw) - known):
             raise ValueError(f"unknown key {unknown[0]!r}")
@@ -309,6 +323,7 @@
             drmaa=_drmaa(drmaa, os.path.dirname(path), _jobs(jobs, (c.name for c in settings.classes)))
             if drmaa else None,
             platform=bool(raw.get("platform", False)),
+            control=_control(raw.get("control")),
             membership=membership,
         )
     except KeyError as error:
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -15,16 +15,17 @@
 
 from grebestack.core.interface import ListKind
 from grebestack.program.config import Config, ConfigError, DrmaaConfig
+from grebestack.program.life import LATE_MS, Clients, Life, Stage
 from grebestack.program.tally import Tally
 from grebestack.protocol.discovery import ListReader, Watch
 from grebestack.protocol.platform import PlatformFront
 from grebestack.protocol.runners import Reports, Runners
 from grebestack.protocol.settings import report_names
 from grebestack.routing.engine import Engine
-from grebestack.routing.interfaces import Listing
+from grebestack.routing.interfaces import Clock, Listing
 from grebestack.routing.table import ServerTable
-from grebestack.transport.client import Pools
-from grebestack.transport.server import SWEEP_S, Acceptor
+from grebestack.transport.client import Address, Pools
+from grebestack.transport.server import SWEEP_S, Acceptor, Leading
 
 if TYPE_CHECKING:
     from grebestack.consul.source import ConsulSource
@@ -33,13 +34,8 @@
 
 log = logging.getLogger(__name__)
 SPARE_SOCKETS = 48  # standard streams, the loop's own, listeners, the watch, room to turn callers away
+DOOR_SOCKETS = 20  # set aside for the operators' door, where there is one: callers, and some just going
 LIST_WAIT_S = 1.0  # ready without a live list after this
-KILL_S = 0.7  # after SIGTERM the kill comes no sooner than this and the longest deadline
-KILL_DEADLINE_S = 3.0  # which counts as this much where it is longer
-KILL_MARGIN_S = 0.2  # what came late is answered so long before the kill
-LATE_S = 0.65  # what comes later than this after SIGTERM is late
-LINGER = 0.45  # the part of that deadline for which clients' connections are kept
-LAST_S = 0.2  # a job may cross the close of its connection
 STATS_S = 5.0
 TALLY_S = 1.0
 
@@ -70,7 +66,7 @@
         self.table = ServerTable()
         self.engine = Engine(config.settings, config.seed, LoopClock(loop), self.table)
         limits = config.options.get("limits") or {}
-        budget = max(64, config.sockets - SPARE_SOCKETS)
+        budget = max(64, config.sockets - SPARE_SOCKETS - (DOOR_SOCKETS if config.control else 0))
         clients = budget * 13 // 20
         self.pools = Pools(
             loop,
@@ -90,10 +86,17 @@
             self.roster = appliance.roster(config.membership, self.engine)
         self.watch = self._source(config)
         self.jobs: JobService | None = None
-        self.stopping = self.stopped = False
+        self.life = Life()
+        self.stopped = False
+        self.next_apply: asyncio.TimerHandle | None = None
         self.tally = Tally()
         self.done: asyncio.Future[None] = loop.create_future()
 
+    @property
+    def clock(self) -> Clock:
+        """Monotonic time and the loop's timers."""
+        return self.engine.clock
+
     def _source(self, config: Config, follows: Watch | None = None) -> Watch | ConsulSource | None:
         source = config.servers.source
         servers = [self.reader.server(raw) for raw in config.servers.entries] if source == "list" else []
@@ -126,6 +129,13 @@
         await self.loop.create_server(acceptor, *config.listen, backlog=512)
         log.info("drmaa_listening", extra={"kv": {"address": ":".join(map(str, config.listen))}})
 
+    async def _open_door(self, address: Address) -> None:
+        from grebestack.control.door import Door  # only here: where there is no door nothing is loaded for it
+        from grebestack.program.operations import OwnOperations
+
+        await self.loop.create_server(Door(self.loop, OwnOperations(self)), *address, backlog=64)
+        log.info("control_listening", extra={"kv": {"address": ":".join(map(str, address))}})
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT and until all is answered then."""
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -140,6 +150,8 @@
         server = await self.loop.create_server(self.acceptor, *self.config.listen, backlog=512)
         address = ":".join(map(str, self.config.listen))
         log.info("listening", extra={"kv": {"name": self.config.name, "address": address}})
+        if self.config.control is not None:
+            await self._open_door(self.config.control)
         self._when_listed(time.monotonic() + LIST_WAIT_S)
         self._stats()
         self._tally()
@@ -157,10 +169,11 @@
 
     def _when_listed(self, until: float) -> None:
         """Ready once the list is up to date: the one held before the start may name servers that drain."""
-        if self.stopping:
+        if self.life.stage is Stage.STOPPING:
             return
         if self.table.known or time.monotonic() >= until:
-            self.front.ready = True
+            self.life.started(self.engine.clock.now_ms())
+            self.apply()
             log.info("ready", extra={"kv": {"servers": len(self.table.servers), "live": self.table.known}})
         else:
             self.loop.call_later(0.01, self._when_listed, until)
@@ -222,27 +235,37 @@
         if self.watch is not None:
             self.watch.start()
 
+    def apply(self) -> None:
+        """Have readiness and the clients' connections follow the state, now and when it changes with time."""
+        now = self.engine.clock.now_ms()
+        longest_ms = max(c.deadline_ms for c in self.config.settings.classes)
+        clients, at_ms = self.life.clients(now, longest_ms)
+        stopping = self.life.stage is Stage.STOPPING
+        self.front.ready, self.front.leaving = self.life.ready, stopping
+        self.front.closing = clients is Clients.AWAY
+        led = Leading.NONE if clients is Clients.KEPT else Leading.ALL if stopping else Leading.CLIENTS
+        self.acceptor.lead(led)
+        if self.next_apply is not None:
+            self.next_apply.cancel()
+            self.next_apply = None
+        if at_ms < float("inf"):
+            self.next_apply = self.loop.call_later(max(0.001, (at_ms - now) / 1000.0), self.apply)
+        elif stopping:
+            self._end()
+
     def stop(self) -> None:
         """Not ready any more; what still comes is served, and the end follows when all is answered."""
-        if self.stopping:
+        now = self.engine.clock.now_ms()
+        if not self.life.stop(now):
             return
-        self.stopping = True
-        self.front.ready, self.front.leaving = False, True
         if self.jobs is not None:
             self.jobs.stop()
         log.info("stopping", extra={"kv": {"open": len(self.engine.open_by_call_id)}})
-        # Guards a roll: clients stay as long as a job can still end here, since the other dispatchers may be
-        # just starting, and each job is answered before the kill.
-        longest_s = max(c.deadline_ms for c in self.config.settings.classes) / 1000.0
-        stay_s = KILL_S + LINGER * min(longest_s, KILL_DEADLINE_S)
-        kill_s = KILL_S + min(longest_s, KILL_DEADLINE_S)
-        until_ms = self.engine.clock.now_ms() + (kill_s - KILL_MARGIN_S) * 1000.0
-        self.loop.call_later(LATE_S, self.front.end_by, until_ms)
-        self.loop.call_later(stay_s, self.acceptor.drain)
-        self.loop.call_later(stay_s + LAST_S, self._end)
+        due_ms = self.life.due_ms(max(c.deadline_ms for c in self.config.settings.classes))
+        self.loop.call_later(LATE_MS / 1000.0, self.front.end_by, due_ms)
+        self.apply()
 
     def _end(self) -> None:
-        self.front.closing = True
         if self.engine.open_by_call_id:
             self.loop.call_later(0.02, self._end)
         elif not self.done.done():
--- /dev/null
+++ b/grebestack/program/operations.py
@@ -0,0 +1,66 @@
+"""What the calls at the operators' door do to this dispatcher."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from grebestack.control.calls import Answer, Call, Verb
+from grebestack.program.life import Life
+
+if TYPE_CHECKING:
+    from grebestack.control.door import Reply
+    from grebestack.routing.interfaces import Clock
+    from grebestack.routing.table import ServerTable
+
+
+class Dispatcher(Protocol):
+    """What calls work on."""
+
+    life: Life
+    table: ServerTable
+
+    @property
+    def clock(self) -> Clock:
+        """The time."""
+
+    def apply(self) -> None:
+        """Have all follow the state of `life`."""
+
+
+class OwnOperations:
+    """Carries calls out in this process, each at once."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    def call(self, call: Call, reply: Reply) -> None:
+        """Carry out a call and reply."""
+        reply(self.carry_out(call))
+
+    def carry_out(self, call: Call) -> Answer:
+        """What a call comes to; a SUCCESS holds when this returns."""
+        if call.verb is Verb.HEALTH:
+            return self._health()
+        if call.verb.named:
+            return self._cordon(call.server, call.verb is Verb.CORDON)
+        life, now = self.dispatcher.life, self.dispatcher.clock.now_ms()
+        if call.verb is Verb.RESUME and not life.resume(now):
+            return Answer(False, "stopping: a stop can't be taken back")
+        if call.verb is Verb.QUIESCE:
+            life.quiesce(now)
+        self.dispatcher.apply()
+        return Answer(True, life.stage.value)
+
+    def _health(self) -> Answer:
+        life = self.dispatcher.life
+        return Answer(life.ready, "ready" if life.ready else f"not ready: {life.stage.value}")
+
+    def _cordon(self, server: str, on: bool) -> Answer:
+        table = self.dispatcher.table
+        try:
+            table.cordon(server, on)
+        except KeyError:
+            return Answer(False, f"{server[:80]!r} was never listed; allowed: an ID that discovery has named")
+        if not on:
+            return Answer(True, f"{server} is used again")
+        return Answer(True, f"{server} is left out")
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -75,6 +75,7 @@
         elif path == b"/health/live" and get:
             connection.answer(200)
         elif path == b"/api" and self.jobs:
+            connection.asked = True
             self._job(connection, request)
         else:
             connection.answer(404)
@@ -113,7 +114,6 @@
         if connection.crowded or self.closing:
             self.deny(connection, self.most_retry_after_ms)
             return
-        connection.asked = True
         # Guards a planned stop: no new connection comes any more, so that a job which takes the last free one
         # leaves all jobs behind it without any for its whole run. It has not been taken and may come again.
         if self.leaving and self._crowded(connection):
--- a/grebestack/protocol/runners.py
+++ b/grebestack/protocol/runners.py
@@ -173,6 +173,9 @@
         self.limit = Limit(runners.engine.clock, pool, self)
 
     def begin(self) -> bytes | None:
+        if not self.runners.engine.table.accepts(self.server):  # it drains since: it is left alone
+            self._ended(Outcome.CONNECT_FAILED, {})
+            return None
         return b"GET /stats HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
             self.pool.address[0].encode(), self.pool.address[1]
         )
--- a/grebestack/routing/table.py
+++ b/grebestack/routing/table.py
@@ -18,14 +18,19 @@
     reason: str = ""  # why it is in its state, for people
 
 
+MOST_NAMES = 100_000  # names that are remembered once they are in no list any more
+
+
 class ServerTable:
     """Holds the list, applies changes to it and tells the engine of each.
 
-    A server that the operator drains counts as draining whatever its source says.
+    A server that the operators have cordoned counts as draining whatever its source says: the bans lie beside
+    the list, and what is used is made anew from both.
     """
 
     def __init__(self) -> None:
-        self.drained: set[str] = set()
+        self.cordoned: set[str] = set()
+        self.names: dict[str, None] = {}  # all that any list has named, the longest unheard of first
         self.listed: dict[str, Server] = {}  # as the source has them
         self.servers: dict[str, Server] = {}
         self.known = False  # whether a list from a live source, not only an old one, has come
@@ -39,33 +44,49 @@
             self.listed, self.servers = {}, {}
         for server in servers:
             self.listed[server.entry.worker] = server
+            self._remember(server.entry.worker)
+        self.known = self.known or kind is not ListKind.CACHED
+        self._tell(kind, servers)
+
+    def _tell(self, kind: ListKind, servers: tuple[Server, ...]) -> None:
         servers = tuple(self._seen(server) for server in servers)
         for server in servers:
             if server.entry.state is WorkerState.GONE:
                 self.servers.pop(server.entry.worker, None)
             else:
                 self.servers[server.entry.worker] = server
-        self.known = self.known or kind is not ListKind.CACHED
         self.on_change(kind, tuple(server.entry for server in servers))
         self.changed()
 
     def _seen(self, server: Server) -> Server:
         entry = server.entry
-        if entry.worker not in self.drained or entry.state is not WorkerState.READY:
+        if entry.worker not in self.cordoned or entry.state is not WorkerState.READY:
             return server
         return replace(server, entry=replace(entry, state=WorkerState.DRAINING))
 
+    def _remember(self, name: str) -> None:
+        self.names.pop(name, None)
+        self.names[name] = None
+        if len(self.names) > MOST_NAMES + len(self.listed) + len(self.cordoned):
+            del self.names[next(n for n in self.names if n not in self.listed and n not in self.cordoned)]
+
     def heard(self) -> None:
         """A list that comes straight here stands as long as nothing else is told: see membership."""
 
     def silent(self, why: str) -> None:
         """The same."""
 
-    def drain(self, name: str, on: bool) -> None:
-        """The operator drains a server, or does no longer; KeyError if it is not listed."""
-        server = self.listed[name]
-        (self.drained.add if on else self.drained.discard)(name)
-        self.update(ListKind.CHANGES, (server,))
+    def cordon(self, name: str, on: bool) -> None:
+        """Leave a server out from now on, or do so no longer; KeyError if no list has ever named it.
+
+        It holds when this returns: what waits asks `accepts` before its first byte.
+        """
+        if name not in self.names:
+            raise KeyError(name)
+        if (name in self.cordoned) != on:
+            (self.cordoned.add if on else self.cordoned.discard)(name)
+            if (server := self.listed.get(name)) is not None:
+                self._tell(ListKind.CHANGES, (server,))
 
     def uid(self, name: str) -> str:
         """By which id the call-backs of a server name it."""
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -7,6 +7,7 @@
 import time
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any, Protocol, cast
 
 import httptools
@@ -46,6 +47,14 @@
         return self.target.partition(b"?")[0]
 
 
+class Leading(Enum):
+    """Which connections are led out."""
+
+    NONE = "none"
+    CLIENTS = "clients"  # those that have brought a job; runners keep theirs for call-backs
+    ALL = "all"
+
+
 class Handler(Protocol):
     """What becomes of requests. Each is answered once by `Connection.answer`, at once or later."""
 
@@ -236,7 +245,7 @@
         self.busy = False
         if self.transport is None:
             return
-        self.closing = self.closing or self.acceptor.draining
+        self.closing = self.closing or self.acceptor.leads_out(self)
         reason = REASONS.get(status, b"Unknown")
         close = b"Connection: close\r\n" if self.closing else b""
         self.transport.write(
@@ -278,7 +287,7 @@
         self.idle: OrderedDict[Connection, None] = OrderedDict()
         self.waiting: OrderedDict[Connection, float] = OrderedDict()  # since when a request is owed
         self.left: OrderedDict[Connection, float] = OrderedDict()  # since when the last answer is being read
-        self.draining = False
+        self.leading = Leading.NONE
 
     def __call__(self) -> Connection:
         return Connection(self)
@@ -336,8 +345,18 @@
         for crowd in (self.idle, self.waiting, self.left):
             crowd.pop(connection, None)
 
-    def drain(self) -> None:
-        """Close what is idle now and all else with its next answer."""
-        self.draining = True
+    def lead(self, leading: Leading) -> None:
+        """Lead connections out, more or fewer of them, or none any more.
+
+        What is idle now is closed, all else with its next answer; a request that has begun is awaited.
+        """
+        if self.leading is leading:
+            return
+        self.leading = leading
         for connection in [*self.idle, *self.waiting]:
-            connection.close()
+            if not connection.partial and self.leads_out(connection):
+                connection.close()
+
+    def leads_out(self, connection: Connection) -> bool:
+        """Whether a connection ends with its next answer."""
+        return self.leading is Leading.ALL or (self.leading is Leading.CLIENTS and connection.asked)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -264,6 +264,7 @@
         self.discovery = Discovery(self)
         self.source: Any = self.discovery
         self.front: Address = ("127.0.0.1", free_port())
+        self.door: Address = ("127.0.0.1", free_port())
         self.processes: list[subprocess.Popen[bytes]] = []
 
     @property
@@ -290,6 +291,7 @@
         environ = {
             "RELAY_NAME": "n0", "RELAY_CONFIG": str(path), "RELAY_LISTEN": f"127.0.0.1:{self.front[1]}",
             "RELAY_DISCOVERY": f"127.0.0.1:{self.discovery.address[1]}",
+            "RELAY_CONTROL": f"127.0.0.1:{self.door[1]}",
         }
         self.launch([], environ)
         return self.front
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -130,7 +130,7 @@
 
     @rule()
     def drain(self) -> None:
-        self.acceptor.drain()
+        self.acceptor.lead(server.Leading.ALL)
 
     @invariant()
     def answers_are_those_asked_for(self) -> None:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -156,7 +156,7 @@
 
     def drain(self, on: bool) -> None:
         for n in range(self.count):
-            self.engine.table.drain(f"w{n}", on)
+            self.engine.table.cordon(f"w{n}", on)
         self.clock.go_on(10.0)
 
     def sent_jobs(self) -> list[str]:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,13 +18,17 @@
     "consul": {"core", "routing", "transport", "protocol", "consul"},
     "jobs": {"core", "routing", "waiting", "jobs"},
     "drmaa": {"core", "routing", "transport", "waiting", "jobs", "drmaa"},
+    "control": {"control"},
     "program": {
         "core", "routing", "transport", "protocol", "membership", "consul", "waiting", "jobs", "drmaa",
-        "program",
+        "control", "program",
     },
 }
 # Opening a connection, which the loop offers only as a coroutine, and the program's own start.
-COROUTINES = {"Pools._dial", "Watch._open", "Dispatcher.run", "Dispatcher._start_drmaa", "run.main"}
+COROUTINES = {
+    "Pools._dial", "Watch._open", "Dispatcher.run", "Dispatcher._start_drmaa", "Dispatcher._open_door",
+    "run.main",
+}
 
 
 def imported(tree: ast.AST) -> set[str]:
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -8,7 +8,7 @@
 
 OURS = {
     "core", "core.interface", "core.policy", "core.state", "program", "program.config", "program.dispatcher",
-    "program.log", "program.tally", "protocol", "protocol.discovery", "protocol.platform",
+    "program.life", "program.log", "program.tally", "protocol", "protocol.discovery", "protocol.platform",
     "protocol.runners", "protocol.settings", "routing", "routing.engine", "routing.interfaces",
     "routing.session", "routing.table", "transport", "transport.client", "transport.server",
 }
