Take settings at SIGHUP: classes come, go and change; a broken file changes nothing

Need: dispatcher.reload() named other settings as waiting for a restart, so that jobs of an appearing class were answered 400 (protocol/platform.py, the table of classes of the start), and moved discovery by half a file's word. An infinite number of attempts ended the program's reload in an OverflowError (protocol/settings.py, max_attempts).

Change: a file is checked whole against the one in force before anything changes; classes keep their numbers, others follow; the module takes api.SettingsChanged.

--- a/grebestack/__main__.py
+++ b/grebestack/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import os
 import sys
 
 from grebestack.program import log
@@ -24,9 +23,7 @@
     log.set_up(options.log_level)
 
     def reread() -> Config:
-        # The environment is that of the start: of a file that was replaced, discovery's new address counts.
-        environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
-        return from_file(options.config) if options.config else from_platform(environ)
+        return from_file(options.config) if options.config else from_platform(again=True)
 
     try:
         config = from_file(options.config) if options.config else from_platform()
--- a/grebestack/core/interface.py
+++ b/grebestack/core/interface.py
@@ -133,7 +133,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a dispatcher is told at its start."""
+    """What a dispatcher is told at its start, and anew while it runs.
+
+    Requests name their class by its place in `classes`; a later value only adds places.
+    """
 
     classes: tuple[JobClass, ...]
     dispatcher: int = 0
@@ -164,6 +167,7 @@
     live_weights: bool = False  # the list's weights fall the more requests a worker holds
     report_fields: frozenset[str] = frozenset()  # active, waiting, cpu, run_ms, free_slots ...
     tick_ms: float = 1.0
+    retired: frozenset[int] = frozenset()  # classes that only requests of before still have
     script: Mapping[str, Tag] | None = None  # by class name, and "default"; None: the built-in one
 
     def __post_init__(self) -> None:
@@ -206,6 +210,13 @@
     workers: tuple[WorkerEntry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """From now on other settings hold; every class of the former ones keeps its place and its meaning."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A client's request; it is owed one final answer by `deadline_ms`."""
@@ -288,8 +299,8 @@
 
 
 Event = (
-    WorkersListed | RequestArrived | AttemptStarted | AttemptProgress | StreamStarted | AttemptEnded
-    | RequestDropped | TimerFired | ProbeEnded
+    WorkersListed | SettingsChanged | RequestArrived | AttemptStarted | AttemptProgress | StreamStarted
+    | AttemptEnded | RequestDropped | TimerFired | ProbeEnded
 )
 
 
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -57,7 +57,8 @@
 def sendable(request: Request, now: float, settings: api.Settings) -> bool:
     """Rules 1 and 2, without regard to the worker; a tick's margin keeps clear of the limits."""
     now += settings.tick_ms
-    if request.closed or len(request.attempts) >= settings.max_attempts or now >= request.asked.deadline_ms:
+    most = min(request.most_attempts, settings.max_attempts)
+    if request.closed or len(request.attempts) >= most or now >= request.asked.deadline_ms:
         return False
     if not settings.second_copies and any(a.outcome is None for a in request.attempts):
         return False
@@ -69,49 +70,53 @@
 
 def repeat_group(request: Request) -> tuple[int | None, int | None]:
     """Rule 2: the zone and cell that a keyed request is bound to once it may have run; None: free."""
-    group = request.job_class.group
-    if not request.attempts or request.job_class.effect is not Effect.KEYED or group is Group.ALL:
+    group, ran = request.job_class.group, request.may_have_run()
+    if not ran or request.job_class.effect is not Effect.KEYED or group is Group.ALL:
         return None, None
-    for attempt in request.may_have_run():
-        at = attempt.worker.entry
-        return at.zone, at.cell if group is Group.CELL else None
-    return None, None
+    return ran[0].worker.entry.zone, ran[0].worker.entry.cell if group is Group.CELL else None
 
 
 class Policy:
     """The decisions of one dispatcher: feed it events, carry out the actions it returns."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
-        script = state.ResolvedScript(settings.script or built_in_script(settings), settings.classes)
-        self.blocks, self.paths, self.refuses = script.blocks, script.paths, script.refuses
         self.random, self.now = random.Random(seed), 0.0
         self.workers: dict[str, WorkerView] = {}
         self.requests = state.Ledger()
         self.held = state.HeldRequests()
         self.orders: dict[OrderKey, list[WorkerView]] = {}
         self.barren: dict[OrderKey, tuple[float, float]] = {}  # no room before a time, for so many slots
-        self.ring = settings.dispatcher * RING_STEP % 1.0
-        self.learned = state.Learned([c.aim_ms for c in settings.classes], settings.tick_ms, self.random)
-        self.shares = [state.TokenBucket() for _ in settings.tenants]
+        self.learned = state.Learned(settings.tick_ms, self.random)
         self.actions: list[api.Action] = []
         self.agenda = state.Agenda()
-        self.list_failures, self.triers = 0, any(c.effect is not Effect.UNSAFE for c in settings.classes)
         self.saved: tuple[WorkerView, Request] | None = None  # a worker that is kept for an aged request
-        self.typical_pace, self.typical_errors = 1.0, [0.0] * len(settings.classes)
+        self.typical_pace, self.typical_errors, self.list_failures = 1.0, dict[int, float](), 0
         self.scanning, self.begun, self.zones = False, False, 1
+        self._settle(settings)
         self.rules: dict[str, Callable[[WorkerView, Request, float | None], bool]] = {
             "max_concurrent_invocations": self._concurrency_reached,
             "capacity_used": self._capacity_used, "overload": self._overloaded,
         }
         self.handlers: dict[type, Callable[..., None]] = {
             api.WorkersListed: self._listed, api.RequestArrived: self._arrived,
+            api.SettingsChanged: lambda e: self._settle(e.settings),
             api.AttemptStarted: self._started, api.StreamStarted: self._started,
             api.AttemptEnded: self._ended, api.RequestDropped: self._dropped,
             api.TimerFired: lambda e: self.agenda.run(self.now, e.token),
             api.ProbeEnded: self._probed, api.AttemptProgress: lambda _: None,
         }
 
+    def _settle(self, settings: api.Settings) -> None:
+        self.settings, self.ring = settings, settings.dispatcher * RING_STEP % 1.0
+        script = state.ResolvedScript(settings.script or built_in_script(settings), settings.classes)
+        self.blocks, self.paths, self.refuses = script.blocks, script.paths, script.refuses
+        self.shares = [state.TokenBucket() for _ in settings.tenants]
+        live = (c for index, c in enumerate(settings.classes) if index not in settings.retired)
+        self.triers = any(c.effect is not Effect.UNSAFE for c in live)
+        self.learned.classes(settings.classes)
+        self.orders.clear()  # blocks may have other numbers
+        self.barren.clear()
+
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """Take one event; return the actions to carry out, in order."""
         self.now = max(self.now, now_ms)
@@ -190,7 +195,7 @@
         ready = [view for view in self.workers.values() if view.ready]
         self.learned.share_out([v for v in ready if v.warm_at <= self.now], self.now)
         self.typical_pace = max(1.0, state.middle(view.pace for view in ready))
-        for index in range(len(self.typical_errors)):
+        for index in range(len(self.paths)):
             self.typical_errors[index] = state.middle(view.failing.get(index, 0.0) for view in ready)
         self.held.levels.sort(key=lambda level: (not level[3], -self._density(level), level))
         self.workers = {name: view for name, view in self.workers.items() if view.ready or view.jobs}
@@ -243,7 +248,7 @@
         Guards against a worker that fails fast, or whose jobs come too late: it has free slots all the time
         and would draw most of the work. It gets single trials, further and further apart.
         """
-        most = FAILING + 1.5 * self.typical_errors[index]
+        most = FAILING + 1.5 * self.typical_errors.get(index, 0.0)
         return self._slower(view, SLOW) or view.failing.get(index, 0.0) > most
 
     def _concurrency_reached(self, view: WorkerView, request: Request, limit: float | None) -> bool:
@@ -281,8 +286,7 @@
             until, slots = self.barren.get(key, (0.0, 0.0))
             if self.now < until and request.asked.slots >= slots:
                 continue
-            view = self._pick(key, request)
-            if view is not None:
+            if view := self._pick(key, request):
                 return view
             # Guards the CPU: a fruitless walk is not repeated at once.
             self.barren[key] = (self.now + SCAN_MS / 2, request.asked.slots)
@@ -327,7 +331,8 @@
         if event.tenant < len(self.shares):  # this dispatcher's part of the tenant's allowance
             rate = self.settings.tenants[event.tenant].allowance_per_s / self.settings.siblings
             within = self.shares[event.tenant].take(self.now, rate)
-        request = Request(event, c, self.now, (index, not within, False, event.aged))
+        level = (index, not within, False, event.aged)
+        request = Request(event, c, self.now, level, self.settings.max_attempts)
         self.requests[event.request] = request
         self.learned.arrival(index, event.slots, c.worth)
         # Rule 1: answered a tick before the deadline whatever happens.
@@ -348,8 +353,7 @@
             if not request.out():
                 self._give_up(request)
             return
-        view = self._select(request)
-        if view is not None:
+        if view := self._select(request):
             self._send(request, view)
         elif self.refuses[request.level[0]] and not request.attempts:
             self._give_up(request)
@@ -454,9 +458,8 @@
         return fits and near and freed.ready and not request.out_at(freed)
 
     def _offer(self, request: Request, freed: WorkerView) -> WorkerView | None:
-        if not self._suits(request, freed):
-            return None
-        return None if self._head_rule(request, freed) or self._unreachable(freed, request) else freed
+        fits = self._suits(request, freed) and not self._head_rule(request, freed)
+        return freed if fits and not self._unreachable(freed, request) else None
 
     def _save(self, request: Request, freed: WorkerView) -> None:
         """Guards an aged job of several slots against a stream of small ones: a worker empties for it."""
@@ -469,8 +472,7 @@
         return self.rules[block.invalidate](view, request, block.threshold)
 
     def _dropped(self, event: api.RequestDropped) -> None:
-        request = self.requests.get(event.request)
-        if request is not None and not request.closed:
+        if (request := self.requests.get(event.request)) and not request.closed:
             self._close(request)
 
     # What becomes of attempts.
@@ -558,8 +560,7 @@
             view.raise_after = self.now + self._jitter(self.learned.run_ms[index])
 
     def _probed(self, event: api.ProbeEnded) -> None:
-        view = self.workers.get(event.worker)
-        if view is not None:
+        if view := self.workers.get(event.worker):
             self._reported(view, event.report)
 
     def _reported(self, view: WorkerView, report: Mapping[str, float]) -> None:
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -45,16 +45,25 @@
 
     SHARE = 0.02  # of each sample
 
-    def __init__(self, aims_ms: Sequence[float], tick_ms: float, chance: Random) -> None:
+    def __init__(self, tick_ms: float, chance: Random) -> None:
         self.tick_ms, self.chance = tick_ms, chance
-        self.run_ms = list(aims_ms)  # running time by class; the aim is the first guess
-        self.slots = [1.0] * len(aims_ms)  # slots by class
+        self.names: list[str] = []  # of the classes
+        self.run_ms: list[float] = []  # running time by class; the aim is the first guess
+        self.slots: list[float] = []  # slots by class
         self.worth = 1.0  # of a request
         self.kind_slots: dict[int, float] = {}  # most slots seen at once on one worker of a kind
         self.kind_weight: dict[int, float] = {}  # the highest weight in the list for a kind: its size
         self.others = (0.0, 0.0)  # slots and memory that the other dispatchers have at a worker on the whole
         self.start_ms = {True: tick_ms, False: tick_ms}  # a prompt start, in the own zone or another
 
+    def classes(self, classes: Sequence[JobClass]) -> None:
+        """There are these classes now: one that has taken on another meaning is taken to run as it did."""
+        for c in classes[len(self.names) :]:
+            former = len(self.names) - 1 - self.names[::-1].index(c.name) if c.name in self.names else None
+            self.names.append(c.name)
+            self.run_ms.append(c.aim_ms if former is None else self.run_ms[former])
+            self.slots.append(1.0 if former is None else self.slots[former])
+
     def arrival(self, index: int, slots: float, worth: float) -> None:
         """A request came in."""
         self.worth += self.SHARE * (worth - self.worth)
@@ -276,6 +285,7 @@
     job_class: JobClass
     arrived_ms: float
     level: Level
+    most_attempts: int  # as the settings allowed when it came
     attempts: list[Attempt] = field(default_factory=list)
     closed: bool = False
     held: bool = False
--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -11,9 +11,12 @@
 
 from grebestack.core.interface import Settings
 from grebestack.protocol.discovery import address_of
-from grebestack.protocol.settings import WireError, settings_of
+from grebestack.protocol.settings import WireError, check_figures, keys_of, settings_of
 from grebestack.transport.client import Address
 
+AT_START = ("known", "seed")  # they say how things are at a start alone
+NEEDED = (".settings.limits.", ".settings.rules.", ".settings.services[].")
+
 
 class ConfigError(Exception):
     """The configuration can't be used; the text says why in one line."""
@@ -109,6 +112,7 @@
     drmaa: DrmaaConfig | None = None
     platform: bool = True  # whether jobs are taken at `listen`, besides call-backs
     control: Address | None = None  # where operators call; None: nowhere
+    keys: frozenset[str] = frozenset()  # the paths of all keys that the file has
     membership: MembershipConfig | None = None  # None: discovery feeds the server table itself
 
 
@@ -123,6 +127,21 @@
         raise ConfigError(f"{path}: not UTF-8") from error
 
 
+def check(config: Config, former: Config) -> None:
+    """ConfigError where a file that was read again can't take the place of the one in force."""
+    if not former.keys:
+        return  # an operator's file has defaults for most, and was checked when it was read
+    needed = (path for path in former.keys if path.startswith(NEEDED) or path.count(".") == 1 + (
+        path.startswith(".settings.")
+    ))
+    if missing := sorted(set(needed) - config.keys):
+        raise ConfigError(f"the file lacks {missing[0].removeprefix('.')}, which the one in force has")
+    try:
+        check_figures(config.options)
+    except WireError as error:
+        raise ConfigError(str(error)) from error
+
+
 def _control(raw: Any) -> Address | None:
     if raw is None or raw == "":
         return None
@@ -134,8 +153,11 @@
         raise ValueError(f"control must be HOST:PORT: {error}") from error
 
 
-def from_platform(environ: Mapping[str, str] = os.environ) -> Config:
-    """Read the file that RELAY_CONFIG names; the other variables go before it."""
+def from_platform(environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
+    """Read the file that RELAY_CONFIG names; the other variables go before it.
+
+    They are those of the start: of a file that is read again, discovery's address goes first.
+    """
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG names no file")
@@ -151,13 +173,16 @@
         return Config(
             name=environ.get("RELAY_NAME") or str(raw.get("name", "")),
             listen=address_of(environ.get("RELAY_LISTEN") or raw["listen"]),
-            discovery=address_of(environ.get("RELAY_DISCOVERY") or raw["discovery"]),
+            discovery=address_of(
+                (again and raw.get("discovery")) or environ.get("RELAY_DISCOVERY") or raw["discovery"]
+            ),
             options=options,
             settings=settings_of(options),
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int((raw.get("limits") or {}).get("sockets", 1024)),
             known=raw.get("known") or {},
             control=_control(environ.get("RELAY_CONTROL") or raw.get("control")),
+            keys=frozenset(keys_of({name: raw[name] for name in raw if name not in AT_START})),
         )
     except KeyError as error:
         raise ConfigError(f"{path}: lacks {error}") from error
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -14,13 +14,13 @@
 import uvloop
 
 from grebestack.core.interface import ListKind
-from grebestack.program.config import Config, ConfigError, DrmaaConfig
+from grebestack.program.config import Config, ConfigError, DrmaaConfig, check
 from grebestack.program.life import LATE_MS, Clients, Life, Stage
 from grebestack.program.tally import Tally
 from grebestack.protocol.discovery import ListReader, Watch
 from grebestack.protocol.platform import PlatformFront
 from grebestack.protocol.runners import Reports, Runners
-from grebestack.protocol.settings import report_names
+from grebestack.protocol.settings import merged, report_names, unmoved
 from grebestack.routing.engine import Engine
 from grebestack.routing.interfaces import Clock, Listing
 from grebestack.routing.table import ServerTable
@@ -206,20 +206,28 @@
         self.loop.call_later(SWEEP_S, self._sweep, acceptor)
 
     def reload(self) -> None:
-        """Read the configuration again and move to the server source that it names; sessions go on.
+        """Read the configuration again, take its settings and move to the server source that it names.
 
-        Whatever else has changed waits for a restart, and a file that can't be used changes nothing.
+        Sessions go on as they came. What else has changed waits for a restart, and a file that can't be used
+        changes nothing.
         """
         try:
             config = self.reread()
+            check(config, self.config)
         except ConfigError as error:
             log.error("reload_failed", extra={"kv": {"error": error}})
             return
-        fixed = ("name", "listen", "options", "sockets", "drmaa", "platform", "membership")
-        waits = ",".join(name for name in fixed if getattr(config, name) != getattr(self.config, name))
+        fixed = ["name", "listen", "control", "sockets", "drmaa", "platform", "membership"]
+        if self.config.drmaa is not None:
+            fixed.append("options")  # the store's records name classes by their place
+        waits = [name for name in fixed if getattr(config, name) != getattr(self.config, name)]
+        if self.config.drmaa is None and config.options != self.config.options:
+            waits += unmoved(self.config.options, config.options)
+            self._resettle(config)
         moved = (config.discovery, config.servers) != (self.config.discovery, self.config.servers)
         address = ":".join(map(str, config.discovery))
-        log.info("reloaded", extra={"kv": {"servers": address, "moved": moved, "waits_for_restart": waits}})
+        kv = {"servers": address, "moved": moved, "waits_for_restart": ",".join(waits)}
+        log.info("reloaded", extra={"kv": kv})
         if not moved or self.stopped:
             return
         former = self.watch
@@ -235,6 +243,17 @@
         if self.watch is not None:
             self.watch.start()
 
+    def _resettle(self, config: Config) -> None:
+        former = self.engine.settings
+        settings = merged(former, config.settings)
+        self.config = replace(self.config, options=config.options, settings=settings, keys=config.keys)
+        self.engine.resettle(settings)
+        self.front.resettle(settings)
+        self.pools.connect_timeout_s = settings.connect_timeout_ms / 1000.0
+        names = [c.name for i, c in enumerate(settings.classes) if i not in settings.retired]
+        kv = {"classes": ",".join(names), "attempts": settings.max_attempts}
+        log.info("settings_changed", extra={"kv": kv})
+
     def apply(self) -> None:
         """Have readiness and the clients' connections follow the state, now and when it changes with time."""
         now = self.engine.clock.now_ms()
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -50,15 +50,20 @@
         self, engine: Engine, settings: Settings, called_back: Callable[[bytes], bool], jobs: bool = True
     ) -> None:
         self.engine, self.called_back, self.jobs = engine, called_back, jobs
-        self.classes = {c.name.encode(): (i, c.deadline_ms) for i, c in enumerate(settings.classes)}
-        self.most_retry_after_ms = settings.max_retry_after_ms if settings.retry_after else None
-        self.keyed = {i for i, c in enumerate(settings.classes) if c.effect is Effect.KEYED}
+        self.resettle(settings)
         self.quiet_until_ms = 0.0
         self.ready = False
         self.leaving = False  # a planned stop has begun: no new connection reaches this dispatcher soon
         self.until_ms = math.inf  # a planned stop: the kill finds what is open after this
         self.closing = False  # no job is taken any more
 
+    def resettle(self, settings: Settings) -> None:
+        """Jobs that come from now on are of these classes."""
+        classes = enumerate(settings.classes)
+        self.classes = {c.name.encode(): (i, c.deadline_ms) for i, c in classes if i not in settings.retired}
+        self.most_retry_after_ms = settings.max_retry_after_ms if settings.retry_after else None
+        self.keyed = {i for i, c in enumerate(settings.classes) if c.effect is Effect.KEYED}
+
     def end_by(self, until_ms: float) -> None:
         """From now on a job's answer is due by then at the latest."""
         self.until_ms = until_ms
--- a/grebestack/protocol/settings.py
+++ b/grebestack/protocol/settings.py
@@ -5,6 +5,7 @@
 import logging
 import math
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any, TypeVar
 
 from grebestack.core import interface as api
@@ -43,6 +44,13 @@
     return default if raw.get(name) is None else number(raw, name)
 
 
+def count(raw: Raw, name: str, default: int) -> int:
+    value = optional(raw, name, default)
+    if not math.isfinite(value):
+        raise WireError(f"{name} must be a positive number, not {value!r}")
+    return int(value)
+
+
 def word(raw: Raw, name: str) -> str:
     value: str = field_of(raw, name, str)
     return value
@@ -137,7 +145,7 @@
         warm_within_ms=optional(rules, "warmWithinMs"),
         fall_multiple=optional(rules, "fallMultiple", 1.0),
         fall_window_ms=optional(rules, "tipAfterMs", 1000.0),
-        max_attempts=int(optional(limits, "mostTries", 1)),
+        max_attempts=count(limits, "mostTries", 1),
         second_copies=bool(limits.get("secondCopies")),
         cancel=bool(limits.get("cancel")),
         probing=bool(limits.get("probing")) and report.get("how") == "on_probe",
@@ -153,3 +161,73 @@
         report_fields=frozenset(names.get(name, name) for name in fields),
         tick_ms=optional(options, "tickMs", 1.0),
     )
+
+
+FIXED = ("zones", "models", "zone", "discovery", "report", "tickMs")  # servers are known in their terms
+FIXED_EXTRA = ("reportX0", "reportX1")
+
+
+def merged(former: api.Settings, new: api.Settings) -> api.Settings:
+    """The new settings with all classes of the former ones in their places; see `Settings.classes`."""
+    classes = list(former.classes)
+    for job_class in new.classes:
+        if job_class not in classes:
+            classes.append(job_class)
+    retired = frozenset(i for i, job_class in enumerate(classes) if job_class not in new.classes)
+    return replace(
+        new, classes=tuple(classes), retired=retired, zone=former.zone, tick_ms=former.tick_ms,
+        list_on_request=former.list_on_request, report_fields=former.report_fields, probing=former.probing,
+    )
+
+
+def unmoved(former: Raw, new: Raw) -> list[str]:
+    """The fields that have changed and wait for a restart."""
+    was: Raw = former.get("extra") or {}
+    extra: Raw = new.get("extra") or {}
+    waits = [name for name in FIXED if former.get(name) != new.get(name)]
+    return waits + [f"extra.{name}" for name in FIXED_EXTRA if was.get(name) != extra.get(name)]
+
+
+def keys_of(raw: Any, path: str = "") -> set[str]:
+    """The paths of all keys of an object and of those in it; of a list, those that all its objects have."""
+    if isinstance(raw, dict):
+        inner = (keys_of(value, f"{path}.{name}") | {f"{path}.{name}"} for name, value in raw.items())
+        return set().union(*inner)
+    if isinstance(raw, list) and raw and all(isinstance(item, dict) for item in raw):
+        return set.intersection(*(keys_of(item, f"{path}[]") for item in raw))
+    return set()
+
+
+def check_figures(options: Raw) -> None:
+    """WireError where a figure that decisions rest on can't be meant; the start takes defaults for some."""
+    services = options.get("services")
+    if not isinstance(services, list) or not services or not all(isinstance(one, dict) for one in services):
+        raise WireError(f"settings.services must be a list of classes, at least one, not {services!r:.40}")
+    names = [one.get("name") for one in services]
+    if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
+        raise WireError(f"settings.services[].name must be words, each once, not {names!r:.80}")
+    for one in services:
+        where = f"settings.services[{one['name']}]"
+        for name in ("aimMs", "hardLimitMs"):
+            _figure(where, one, name, above=0.0)
+        for name in ("value", "lateWorth", "windowMs", "aimStretch"):
+            if one.get(name) is not None:
+                _figure(where, one, name)
+    limits = options.get("limits")
+    if not isinstance(limits, dict):
+        raise WireError(f"settings.limits must be an object, not {limits!r:.40}")
+    _figure("settings.limits", limits, "mostTries", above=0.0)
+    if limits["mostTries"] != int(limits["mostTries"]):
+        raise WireError(f"settings.limits.mostTries must be a whole number, not {limits['mostTries']!r}")
+    for part in ("limits", "rules"):
+        for name, value in (options.get(part) or {}).items():
+            if not isinstance(value, bool | str) and value is not None:
+                _figure(f"settings.{part}", options[part], name)
+
+
+def _figure(where: str, raw: Raw, name: str, above: float | None = None) -> None:
+    value = raw.get(name)
+    good = isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+    if value is None or not good or value < 0.0 or (above is not None and value <= above):
+        allowed = "a positive number" if above is not None else "a number of at least 0"
+        raise WireError(f"{where}.{name} must be {allowed}, not {value!r:.40}")
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -33,6 +33,11 @@
         self.sent: Counter[str] = Counter()  # dispatches by server since `tally` was last asked
         table.on_change = lambda kind, entries: self._feed(api.WorkersListed(kind, entries))
 
+    def resettle(self, settings: api.Settings) -> None:
+        """Other settings hold from now on; they keep the places of all classes."""
+        self.settings = settings
+        self._feed(api.SettingsChanged(settings))
+
     # What the fronts say.
 
     def open(
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,143 @@
+"""Settings that change under way: broken files change nothing, jobs keep the class they came with."""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections.abc import Callable
+from copy import deepcopy
+from functools import partial
+from typing import Any
+
+import pytest
+
+from grebestack.core import interface as api
+from grebestack.core.policy import Policy
+from grebestack.program.config import ConfigError, check, from_platform
+from grebestack.protocol.settings import merged, settings_of
+from tests.driver import KEYED, SAFE, UNSAFE, Dispatcher, sends, settings
+from tests.standins import OPTIONS, World, call, wait_until
+
+GOOD: dict[str, Any] = {
+    "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f",
+    "limits": {"sockets": 256}, "known": {"rev": 1}, "settings": OPTIONS,
+}
+
+
+BAD: list[Any] = [0, -1, True, float("nan"), float("inf"), "5", [], {}]
+
+
+def at(path: str, value: Any) -> Callable[[Any], None]:
+    def change(raw: Any) -> None:
+        *inner, last = path.split(".")
+        for name in inner:
+            raw = raw[int(name) if name.isdigit() else name]
+        if value is None:
+            del raw[last]
+        else:
+            raw[last] = value
+
+    return change
+
+
+@pytest.mark.parametrize("change, says", [
+    (at("settings", None), "lacks 'settings'"), (at("discovery", None), "lacks 'discovery'"),
+    (at("name", None), "lacks name"),
+    (at("limits", None), "lacks limits"), (at("settings.limits", None), "lacks settings.limits"),
+    (at("settings.services", None), "services"), (at("settings.rules", None), "lacks settings.rules"),
+    (at("settings.limits.mostTries", None), "mostTries"), (at("settings.services", []), "no class"),
+    (at("settings.services.0.hardLimitMs", None), "hardLimitMs"), (at("settings.extra", None), "extra"),
+    (at("settings.services.1.effect", "maybe"), "effect"), (at("settings.services.1.name", "order"), "once"),
+    *((at(f"settings.{field}", value), field.rpartition(".")[2])
+      for field in ("services.0.hardLimitMs", "services.1.aimMs", "limits.mostTries")
+      for value in BAD),
+    (at("settings.limits.mostTries", 2.5), "whole number"),
+    (at("settings.rules.drainGraceMs", float("nan")), "drainGraceMs"),
+])
+def test_a_broken_file_is_refused_and_named(
+    change: Callable[[Any], None], says: str, tmp_path: Any
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    former = from_platform({"RELAY_CONFIG": str(path)})
+    check(former, former)
+    raw = deepcopy(GOOD)
+    change(raw)
+    path.write_text(json.dumps(raw))
+    with pytest.raises(ConfigError, match=says):
+        check(from_platform({"RELAY_CONFIG": str(path)}), former)
+
+
+def test_a_class_keeps_its_place_and_a_place_its_meaning() -> None:
+    first = settings_of(OPTIONS)
+    changed = deepcopy(OPTIONS)
+    changed["services"][1]["effect"] = "single_shot"
+    changed["services"].insert(0, {"name": "new", "aimMs": 1.0, "hardLimitMs": 9.0, "effect": "free"})
+    del changed["extra"]["classStretch"], changed["services"][1]
+    second = merged(first, settings_of(changed))
+    assert second.classes[:2] == first.classes and second.retired == {0, 1}
+    assert [c.name for c in second.classes[2:]] == ["new", "reading"]
+    back = merged(second, first)
+    assert back.classes == second.classes and back.retired == {2, 3}
+
+
+def test_a_job_under_way_keeps_its_class_and_attempts_never_grow() -> None:
+    d = Dispatcher(workers=12)
+    number, actions = d.ask(1)
+    assert d.policy.settings.classes[1] is KEYED
+    strict = api.JobClass("book", 1000, 15000, api.Effect.UNSAFE)
+    d.feed(api.SettingsChanged(
+        settings(classes=(SAFE, KEYED, UNSAFE, strict), retired=frozenset({1}), max_attempts=2)
+    ))
+    again = d.end(number, sends(actions)[0], api.Outcome.RESET)  # it may have run
+    assert len(sends(again)) == 1
+    assert not sends(d.end(number, sends(again)[0], api.Outcome.REJECTED, attempt=1)), "a third attempt"
+    actions = d.feed(api.RequestArrived(99, 3, d.now + 5000))
+    assert not sends(d.end(99, sends(actions)[0], api.Outcome.RESET))
+    d.feed(api.SettingsChanged(settings()))
+    third, actions = d.ask(0)
+    for attempt in range(3):
+        actions = d.end(third, sends(actions)[0], api.Outcome.REJECTED, attempt=attempt)
+        assert len(sends(actions)) == 1
+
+
+def test_what_is_learned_of_a_class_passes_on_and_of_workers_stays() -> None:
+    policy = Policy(settings(), 1)
+    policy.learned.run_ms[1] = 77.0
+    policy.handle(1.0, api.WorkersListed(api.ListKind.FULL, (api.WorkerEntry("w"),)))
+    view = policy.workers["w"]
+    strict = api.JobClass("book", 1000, 15000, api.Effect.UNSAFE)
+    added = api.JobClass("added", 50, 100, api.Effect.SAFE)
+    policy.handle(2.0, api.SettingsChanged(settings(classes=(SAFE, KEYED, UNSAFE, strict, added))))
+    assert policy.learned.run_ms[3:] == [77.0, 50.0] and policy.workers["w"] is view
+    policy.handle(2000.0, api.TimerFired(policy.agenda.token))  # the queue's order is renewed
+    policy.handle(2001.0, api.RequestArrived(1, 4, 2100.0))
+
+
+def test_classes_come_and_go_under_load_and_a_broken_file_moves_nothing(world: World) -> None:
+    runners = [world.runner("s-1", seconds=1.5), world.runner("s-2", seconds=1.5)]
+    front = world.start()
+    path = world.folder / "config.json"
+    config = json.loads(path.read_text())
+
+    def ask(call_id: str, job_class: str) -> int:
+        headers = {"X-Call-Id": call_id, "X-Call-Class": job_class, "Idempotency-Key": call_id}
+        return call(front, "POST", "/api", b"", headers)[0]
+
+    pending = [world.in_background(partial(ask, f"old-{c}", c)) for c in ("order", "reading")]
+    wait_until(lambda: all(runner.jobs for runner in runners))
+    for runner in runners:
+        runner.seconds = 0.0
+    config["settings"]["services"][1]["effect"] = "single_shot"
+    config["settings"]["services"][0]["name"] = "fresh"
+    path.write_text(json.dumps(config))
+    world.process.send_signal(signal.SIGHUP)
+    wait_until(lambda: ask("new", "fresh") == 200)
+    assert ask("gone", "order") == 400 and ask("strict", "reading") == 200
+    whole = path.read_text()
+    for broken in ("", whole[: len(whole) // 2], whole.replace("hardLimitMs", "x")):
+        path.write_text(broken)
+        world.process.send_signal(signal.SIGHUP)
+        assert call(front, "GET", "/health/ready", b"", {})[0] == 200
+        assert ask(f"after-{len(broken)}", "fresh") == 200
+    assert [result() for result in pending] == [200, 200]
