Upgrades: a second process takes over listener, connections, bans and what was learned

Need: started again beside the running process, the program ended with 1 (dispatcher.run bound the address anew).

Change: RELAY_LISTEN_FD is served from; two processes speak over a Unix socket in TMPDIR (handover/, program/upgrade.py). Idle clients' connections go over as descriptors, call-backs for the other's jobs are answered by its word, calls at either door hold in both, bans are kept in a file too, the room for connections is halved meanwhile.

--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -111,6 +111,7 @@
     servers: ServerSource = field(default_factory=ServerSource)
     drmaa: DrmaaConfig | None = None
     platform: bool = True  # whether jobs are taken at `listen`, besides call-backs
+    listen_fd: int | None = None  # the clients' listening socket, if the platform holds it
     control: Address | None = None  # where operators call; None: nowhere
     keys: frozenset[str] = frozenset()  # the paths of all keys that the file has
     membership: MembershipConfig | None = None  # None: discovery feeds the server table itself
@@ -153,6 +154,14 @@
         raise ValueError(f"control must be HOST:PORT: {error}") from error
 
 
+def _descriptor(raw: str | None) -> int | None:
+    if not raw:
+        return None
+    if not raw.isdigit():
+        raise ValueError(f"RELAY_LISTEN_FD must be the number of an open descriptor, not {raw!r}")
+    return int(raw)
+
+
 def from_platform(environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
     """Read the file that RELAY_CONFIG names; the other variables go before it.
 
@@ -181,6 +190,7 @@
             seed=int(str(raw.get("seed", "0")), 16),
             sockets=int((raw.get("limits") or {}).get("sockets", 1024)),
             known=raw.get("known") or {},
+            listen_fd=_descriptor(environ.get("RELAY_LISTEN_FD")),
             control=_control(environ.get("RELAY_CONTROL") or raw.get("control")),
             keys=frozenset(keys_of({name: raw[name] for name in raw if name not in AT_START})),
         )
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -5,7 +5,9 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -14,8 +16,8 @@
 import uvloop
 
 from grebestack.core.interface import ListKind
-from grebestack.program.config import Config, ConfigError, DrmaaConfig, check
-from grebestack.program.life import LATE_MS, Clients, Life, Stage
+from grebestack.program.config import Config, ConfigError, DrmaaConfig, StartError, check
+from grebestack.program.life import KILL_DEADLINE_MS, LATE_MS, Clients, Life, Stage
 from grebestack.program.tally import Tally
 from grebestack.protocol.discovery import ListReader, Watch
 from grebestack.protocol.platform import PlatformFront
@@ -30,6 +32,7 @@
 if TYPE_CHECKING:
     from grebestack.consul.source import ConsulSource
     from grebestack.jobs.service import JobService
+    from grebestack.program.upgrade import Upgrade
     from grebestack.protocol.roster import Roster
 
 log = logging.getLogger(__name__)
@@ -66,19 +69,20 @@
         self.table = ServerTable()
         self.engine = Engine(config.settings, config.seed, LoopClock(loop), self.table)
         limits = config.options.get("limits") or {}
-        budget = max(64, config.sockets - SPARE_SOCKETS - (DOOR_SOCKETS if config.control else 0))
-        clients = budget * 13 // 20
+        clients, servers = self._room(1)
         self.pools = Pools(
             loop,
-            budget - clients * 9 // 8,
+            servers,
             config.settings.connect_timeout_ms / 1000.0,
             float(limits.get("connIdleMs") or 10_000.0) / 1000.0 * 0.6,
         )
         reports = Reports(report_names(config.options.get("extra") or {}))
         self.runners = self.engine.servers = Runners(self.engine, self.pools, reports)
         self.front = PlatformFront(self.engine, config.settings, self.runners.called_back, config.platform)
-        fronts = 1 if config.drmaa is None else 2
-        self.acceptor = Acceptor(self.front, clients // fronts)
+        self.acceptor = Acceptor(self.front, clients)
+        self.server: asyncio.Server | None = None
+        self.upgrade: Upgrade | None = None
+        self.starting: asyncio.Task[None] | None = None
         self.roster: Roster | None = None
         if config.membership is not None:
             from grebestack.program import appliance
@@ -92,6 +96,40 @@
         self.tally = Tally()
         self.done: asyncio.Future[None] = loop.create_future()
 
+    def _room(self, among: int) -> tuple[int, int]:
+        """Connections from clients at each front and to servers, where so many processes share the room."""
+        spare = SPARE_SOCKETS + (DOOR_SOCKETS if self.config.control else 0)
+        budget = max(64 // among, self.config.sockets // among - spare)
+        clients = budget * 13 // 20
+        return clients // (1 if self.config.drmaa is None else 2), budget - clients * 9 // 8
+
+    def share(self, among: int) -> None:
+        """Keep to a part of the room for connections, with another process of an upgrade or without."""
+        clients, servers = self._room(among)
+        self.acceptor.resize(clients)
+        self.pools.keep_within(servers)
+
+    async def listen(self) -> None:
+        """Accept clients, at the address or on the socket that the platform holds."""
+        if self.server is not None:
+            return
+        if self.config.listen_fd is None:
+            self.server = await self.loop.create_server(self.acceptor, *self.config.listen, backlog=512)
+        else:
+            try:
+                sock = socket.socket(fileno=os.dup(self.config.listen_fd))
+            except OSError as error:
+                raise StartError(f"RELAY_LISTEN_FD: {self.config.listen_fd} is no open socket") from error
+            self.server = await self.loop.create_server(self.acceptor, sock=sock, backlog=512)
+        address = ":".join(map(str, self.config.listen))
+        log.info("listening", extra={"kv": {"name": self.config.name, "address": address}})
+
+    def stop_listening(self) -> None:
+        """Close this process's own copy of the listener."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
     @property
     def clock(self) -> Clock:
         """Monotonic time and the loop's timers."""
@@ -133,7 +171,9 @@
         from grebestack.control.door import Door  # only here: where there is no door nothing is loaded for it
         from grebestack.program.operations import OwnOperations
 
-        await self.loop.create_server(Door(self.loop, OwnOperations(self)), *address, backlog=64)
+        operations = OwnOperations(self) if self.upgrade is None else self.upgrade
+        shared = True if self.upgrade is not None else None  # two processes may have the same address then
+        await self.loop.create_server(Door(self.loop, operations), *address, backlog=64, reuse_port=shared)
         log.info("control_listening", extra={"kv": {"address": ":".join(map(str, address))}})
 
     async def run(self) -> None:
@@ -141,15 +181,16 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        if self.config.known and isinstance(self.watch, Watch):
+        if self.config.listen_fd is not None:
+            await self._begin_upgrade()
+        if self.config.known and isinstance(self.watch, Watch) and not self.table.servers:
             self.watch.known(self.config.known)
         if self.watch is not None:
             self.watch.start()
         if self.config.drmaa is not None:
             await self._start_drmaa(self.config.drmaa)
-        server = await self.loop.create_server(self.acceptor, *self.config.listen, backlog=512)
-        address = ":".join(map(str, self.config.listen))
-        log.info("listening", extra={"kv": {"name": self.config.name, "address": address}})
+        if self.upgrade is None or self.upgrade.pact.elder is None:
+            await self.listen()
         if self.config.control is not None:
             await self._open_door(self.config.control)
         self._when_listed(time.monotonic() + LIST_WAIT_S)
@@ -160,7 +201,7 @@
         gc.freeze()
         await self.done
         self.stopped = True
-        server.close()
+        self.stop_listening()
         if self.watch is not None:
             self.watch.stop()
         if self.jobs is not None:
@@ -172,12 +213,34 @@
         if self.life.stage is Stage.STOPPING:
             return
         if self.table.known or time.monotonic() >= until:
-            self.life.started(self.engine.clock.now_ms())
-            self.apply()
-            log.info("ready", extra={"kv": {"servers": len(self.table.servers), "live": self.table.known}})
+            if self.server is None:
+                self.starting = self.loop.create_task(self._accept_and_serve())
+            else:
+                self._serve()
         else:
             self.loop.call_later(0.01, self._when_listed, until)
 
+    async def _accept_and_serve(self) -> None:
+        await self.listen()
+        self._serve()
+
+    def _serve(self) -> None:
+        self.life.started(self.engine.clock.now_ms())
+        self.apply()
+        log.info("ready", extra={"kv": {"servers": len(self.table.servers), "live": self.table.known}})
+        if self.upgrade is not None:
+            self.upgrade.started()
+
+    async def _begin_upgrade(self) -> None:
+        from grebestack.program.upgrade import Upgrade  # only here: it is no part of other days
+
+        folder = os.environ.get("TMPDIR")
+        if not folder:
+            log.warning("no_upgrades", extra={"kv": {"why": "TMPDIR is not set"}})
+            return
+        self.upgrade = Upgrade(self, folder)
+        await self.upgrade.begin()
+
     def _stats(self) -> None:
         kv = dict(self.engine.counts) | {
             "open": len(self.engine.open_by_call_id),
@@ -279,13 +342,18 @@
             return
         if self.jobs is not None:
             self.jobs.stop()
+        if self.upgrade is not None:
+            self.upgrade.stop()
         log.info("stopping", extra={"kv": {"open": len(self.engine.open_by_call_id)}})
         due_ms = self.life.due_ms(max(c.deadline_ms for c in self.config.settings.classes))
         self.loop.call_later(LATE_MS / 1000.0, self.front.end_by, due_ms)
         self.apply()
 
     def _end(self) -> None:
-        if self.engine.open_by_call_id:
+        handing = self.life.retired and self.acceptor.engaged_now() and (
+            self.engine.clock.now_ms() < self.life.due_ms(KILL_DEADLINE_MS)
+        )
+        if self.engine.open_by_call_id or handing:
             self.loop.call_later(0.02, self._end)
         elif not self.done.done():
             log.info("stopped", extra={"kv": dict(self.engine.counts)})
--- a/grebestack/program/life.py
+++ b/grebestack/program/life.py
@@ -25,6 +25,7 @@
     STARTING = "starting"
     SERVING = "serving"
     QUIESCED = "quiesced"
+    RETIRED = "handed over"  # another process of an upgrade has taken over
     STOPPING = "stopping"
 
 
@@ -44,6 +45,7 @@
     since_ms: float = 0.0
     listed: bool = False  # the start is over: the list is up to date, or was waited for long enough
     quiesced: bool = False  # the operators' word, which holds during the start too
+    retired: bool = False  # the other process of an upgrade serves; clients are handed to it
 
     @property
     def ready(self) -> bool:
@@ -53,7 +55,11 @@
     def _go_on(self, now_ms: float) -> None:
         if self.stage is Stage.STOPPING:
             return
-        stage = Stage.QUIESCED if self.quiesced else Stage.SERVING if self.listed else Stage.STARTING
+        stage = Stage.SERVING if self.listed else Stage.STARTING
+        if self.retired:
+            stage = Stage.RETIRED
+        elif self.quiesced:
+            stage = Stage.QUIESCED
         if stage is not self.stage:
             self.stage, self.since_ms = stage, now_ms
 
@@ -67,6 +73,11 @@
         self.quiesced = True
         self._go_on(now_ms)
 
+    def retire(self, on: bool, now_ms: float) -> None:
+        """Another process has taken over, or is lost again."""
+        self.retired = on
+        self._go_on(now_ms)
+
     def resume(self, now_ms: float) -> bool:
         """End of the drain; False where a stop has begun, which nothing takes back."""
         self.quiesced = False
@@ -83,6 +94,8 @@
     def clients(self, now_ms: float, longest_ms: float = KILL_DEADLINE_MS) -> tuple[Clients, float]:
         """What becomes of clients now, and when that changes next; `longest_ms` is the longest deadline."""
         kept = self.since_ms
+        if self.retired:
+            return Clients.KEPT, math.inf  # they are handed over
         if self.stage is Stage.QUIESCED:
             kept, away = self.since_ms + KEPT_MS, self.since_ms + LED_MS
         elif self.stage is Stage.STOPPING:
--- /dev/null
+++ b/grebestack/program/upgrade.py
@@ -0,0 +1,360 @@
+"""Carries out the pact of an upgrade: the other process, its channel, the listener that both share."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from grebestack.control.calls import Answer, Call, Verb
+from grebestack.core import keepsake
+from grebestack.core.interface import ListKind, WorkerEntry, WorkerState
+from grebestack.handover import pact as api
+from grebestack.handover.channel import Channel, MeetingPoint, read_file, write_note
+from grebestack.handover.frames import MOST_FILE, FrameError, Message, note, read_note
+from grebestack.program.operations import OwnOperations
+from grebestack.protocol.runners import Said
+from grebestack.routing.session import Dispatch
+from grebestack.routing.table import Server
+from grebestack.transport.server import Connection
+
+if TYPE_CHECKING:
+    from grebestack.control.door import Reply
+    from grebestack.program.dispatcher import Dispatcher
+
+log = logging.getLogger(__name__)
+FOLDER = "grebestack"  # in $TMPDIR
+BANS = "bans"
+WELCOME_S = 4.0  # an elder that says nothing for so long is not waited for
+AGAIN_S = 0.1  # an elder that is busy with another upgrade is asked again after this
+CALL_S = 0.6  # a peer has so long for an operator's call, of which the answer falls due within a second
+BACK_S = 1.0  # and so long for a call-back; its runner comes again
+HAND_S = 0.005  # a connection whose answer has not left is looked at again after this
+MOST_TOLD = 20_000  # names and ids that are told to an heir
+
+
+class Upgrade:
+    """This process's side of an upgrade: of the one it began with, and of the next."""
+
+    def __init__(self, dispatcher: Dispatcher, folder: str) -> None:
+        self.dispatcher, self.loop = dispatcher, dispatcher.loop
+        self.path = os.path.join(folder, FOLDER)
+        self.meeting = MeetingPoint(self.loop, self.path)
+        self.pact = api.Pact()
+        self.channels: dict[int, Channel] = {}
+        self.numbers: dict[Channel, int] = {}
+        self.last = 0
+        self.replies: dict[int, Callable[[bool | None], None]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()  # the listener, connections being adopted
+        self.again: asyncio.TimerHandle | None = None
+        self.welcomed = asyncio.Event()  # or alone: the start may go on
+        self.own = OwnOperations(dispatcher)
+        self.elsewhere = keepsake.Elsewhere(dispatcher.engine.policy)
+        dispatcher.front.elsewhere = self.called_back
+        dispatcher.front.open_elsewhere = lambda call_id: call_id in self.pact.elders_open
+        dispatcher.engine.on_closed = self._closed
+
+    # The start.
+
+    async def begin(self) -> None:
+        """Find an elder and be welcomed, or be alone. What was banned holds before anything is sent."""
+        self._read_bans()
+        until = self.loop.time() + WELCOME_S
+        while not self.welcomed.is_set():
+            sock = self.meeting.find()
+            if sock is None or self.loop.time() >= until:
+                if sock is not None:
+                    log.warning("elder_busy", extra={"kv": {"waited_s": WELCOME_S}})
+                    sock.close()
+                self._do(self.pact.alone())
+                return
+            peer = self._join(sock)
+            control = self.dispatcher.config.control
+            self._do(self.pact.found(peer, ":".join(map(str, control or ()))))
+            try:
+                async with asyncio.timeout(max(0.0, until - self.loop.time())):
+                    while self.pact.elder is not None and not self.welcomed.is_set():
+                        await asyncio.sleep(0.005)
+            except TimeoutError:
+                log.warning("elder_silent", extra={"kv": {"waited_s": WELCOME_S}})
+                return  # it may be slow: it is told when we are ready, and the bans are those of the file
+            if self.pact.meeting:
+                return  # it is lost, and this process has its place
+            if not self.welcomed.is_set():
+                await asyncio.sleep(AGAIN_S)
+
+    def _read_bans(self) -> None:
+        path = os.path.join(self.path, BANS)
+        try:
+            data = read_file(path, MOST_FILE)
+            if data is not None:
+                self._ban(read_note(data))
+        except (FrameError, OSError) as error:
+            log.warning("bans_refused", extra={"kv": {"file": path, "why": error}})
+
+    def _ban(self, names: set[str]) -> None:
+        table = self.dispatcher.table
+        table.remember(names)
+        for name in names:
+            table.cordon(name, True)
+
+    def _met(self, sock: socket.socket) -> None:
+        self._join(sock)
+
+    def _join(self, sock: socket.socket) -> int:
+        self.last += 1
+        channel = Channel(self.loop, sock, self._heard, self._lost)
+        self.channels[self.last], self.numbers[channel] = channel, self.last
+        return self.last
+
+    def started(self) -> None:
+        """The start is over, and this process accepts."""
+        self._do(self.pact.started())
+
+    def stop(self) -> None:
+        """This process has been told to end."""
+        self.pact.stop()
+        self.meeting.give_up()
+
+    # The channel.
+
+    def _heard(self, channel: Channel, message: Message, fds: list[int]) -> None:
+        if message["is"] == "conn" and self.numbers[channel] == self.pact.elder:
+            for fd in fds:
+                self._adopt(fd, bool(message.get("asked")), bool(message.get("idle")))
+            return
+        for fd in fds:
+            os.close(fd)
+        self._do(self.pact.heard(self.numbers[channel], message))
+
+    def _lost(self, channel: Channel, why: str) -> None:
+        peer = self.numbers.pop(channel)
+        del self.channels[peer]
+        role = "elder" if peer == self.pact.elder else "heir" if peer == self.pact.heir else "other"
+        log.info("upgrade_parted", extra={"kv": {"role": role, "why": why}})
+        self._do(self.pact.lost(peer))
+
+    def _do(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            self._carry_out(action)
+
+    def _tell(self, peer: int, message: Message) -> None:
+        if peer in self.channels:
+            self.channels[peer].send(message)
+
+    def _carry_out(self, action: api.Action) -> None:
+        if isinstance(action, api.Tell):
+            self._tell(action.peer, action.message)
+        elif isinstance(action, api.Reply):
+            if (reply := self.replies.pop(action.number, None)) is not None:
+                reply(action.yes)
+        elif isinstance(action, api.CalledBack):
+            said = self.dispatcher.runners.called_back(action.body.encode("utf-8", "surrogateescape"))
+            self._tell(action.peer, {"is": "known", "n": action.number, "yes": said is Said.TAKEN})
+        elif isinstance(action, api.CarryOut):
+            self.dispatcher.table.remember({action.server})
+            done = self._own(Call(Verb(action.verb), action.server)).done
+            self._tell(action.peer, {"is": "did", "n": action.number, "yes": done})
+        elif isinstance(action, api.Welcome):
+            log.info("upgrade_heir", extra={"kv": {"open": len(self.dispatcher.engine.open_by_call_id)}})
+            self._tell(action.peer, self._welcome())
+        elif isinstance(action, api.TakeOver):
+            self._take_over(action.what)
+        elif isinstance(action, api.Count):
+            self._count(action.what)
+        elif isinstance(action, api.Share):
+            self.dispatcher.share(action.among)
+        elif isinstance(action, api.Meet):
+            if action.on:
+                self.meeting.hold(self._met)
+            else:
+                self.meeting.give_up()
+        elif isinstance(action, api.Apart):
+            log.info("upgrade_apart", extra={"kv": {"why": action.why}})
+            if (channel := self.channels.pop(action.peer, None)) is not None:
+                del self.numbers[channel]
+                channel.close()
+        elif action.on:
+            self._accept()
+        else:
+            self._retire(action.to)
+
+    # What an heir is told, and takes.
+
+    def _welcome(self) -> Message:
+        d = self.dispatcher
+        servers = [
+            [s.entry.worker, s.entry.zone, s.entry.kind, s.entry.cell, s.entry.state.value, s.entry.weight,
+             s.entry.started_ms, *s.address]
+            for s in d.table.listed.values()
+        ]
+        return {
+            "is": "welcome", "bans": sorted(d.table.cordoned), "quiesced": d.life.quiesced,
+            "names": list(d.table.names)[-MOST_TOLD:], "servers": servers,
+            "clock": d.reader.unix_to_clock_ms, "learned": keepsake.kept(d.engine.policy),
+        }
+
+    def _take_over(self, what: Message) -> None:
+        d, bans = self.dispatcher, set[str]()
+        try:
+            d.reader.unix_to_clock_ms = float(what["clock"])
+            d.table.remember({str(name) for name in what["names"]})
+            bans = {str(name) for name in what["bans"]}
+            for name in d.table.cordoned - bans:
+                d.table.cordon(name, False)
+            self._ban(bans)
+            if what["quiesced"]:
+                d.life.quiesce(d.clock.now_ms())
+            if not d.table.known:  # else it comes late, and what is known is newer
+                d.table.update(ListKind.CACHED, [server_of(raw) for raw in what["servers"]])
+                keepsake.take(d.engine.policy, what["learned"])
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
+            log.warning("welcome_refused", extra={"kv": {"why": repr(error)}})
+        log.info("upgrade_welcomed", extra={"kv": {"servers": len(d.table.servers), "bans": len(bans)}})
+        self.welcomed.set()
+
+    def _count(self, what: Message | None) -> None:
+        if what is None:
+            self.elsewhere.over(self.dispatcher.clock.now_ms())
+        elif what["is"] == "ended":
+            self.elsewhere.ended(str(what["key"]), self.dispatcher.clock.now_ms())
+        else:
+            self.elsewhere.sent(
+                str(what["key"]), str(what["worker"]), float(what["slots"]), float(what["memory"]),
+                float(what["sent_ms"]), str(what["class"]),
+            )
+
+    # The listener and clients' connections.
+
+    def _accept(self) -> None:
+        d = self.dispatcher
+        d.acceptor.handing = None
+        d.engine.on_sent = d.engine.on_ended = lambda dispatch: None
+        d.life.retire(False, d.clock.now_ms())
+        task = self.loop.create_task(d.listen())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        d.apply()
+
+    def _retire(self, to: int | None) -> None:
+        d = self.dispatcher
+        d.stop_listening()
+        d.life.retire(True, d.clock.now_ms())
+        d.apply()
+        assert to is not None
+        out = [told(dispatch) for session in d.engine.sessions.values() for dispatch in session.out()]
+        opened = list(d.engine.open_by_call_id)[-MOST_TOLD:]
+        self._tell(to, {"is": "retired", "open": opened, "out": out[-MOST_TOLD:]})
+        d.engine.on_sent = lambda dispatch: self._tell(to, {"is": "sent", **told(dispatch)})
+        d.engine.on_ended = lambda dispatch: self._tell(to, {"is": "ended", "key": key_of(dispatch)})
+        self._hand_all(to)
+        log.info("upgrade_retired", extra={"kv": {
+            "open": len(d.engine.open_by_call_id), "kept": len(d.acceptor.connections),
+        }})
+
+    def _hand_all(self, to: int) -> None:
+        self.again = None
+        if to in self.channels and self.dispatcher.life.retired:
+            self.dispatcher.acceptor.hand_over(partial(self._hand, to))
+
+    def _hand(self, to: int, connection: Connection, idle: bool) -> bool:
+        """Hand a client's connection over as it stands; what has come on it and was not read goes along."""
+        channel = self.channels.get(to)
+        if channel is None:
+            return False
+        if (fd := connection.descriptor()) is None:  # its answer is still leaving
+            if self.again is None:
+                self.again = self.loop.call_later(HAND_S, self._hand_all, to)
+            return False
+        channel.send({"is": "conn", "asked": connection.asked, "idle": idle}, [fd])
+        connection.part()
+        return True
+
+    def _adopt(self, fd: int, asked: bool, idle: bool) -> None:
+        sock = socket.socket(fileno=fd)
+        sock.setblocking(False)
+        task = self.loop.create_task(self._take(sock, asked, idle))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _take(self, sock: socket.socket, asked: bool, idle: bool) -> None:
+        acceptor = self.dispatcher.acceptor
+        try:
+            await self.loop.connect_accepted_socket(lambda: acceptor.adopt(asked, idle), sock)
+        except OSError:
+            sock.close()
+
+    def _closed(self, call_id: str) -> None:
+        if self.pact.heir is not None and not self.pact.accepting:
+            self._tell(self.pact.heir, {"is": "closed", "id": call_id})
+
+    # Questions to the other process.
+
+    def _ask(
+        self, asked: tuple[int, list[api.Action]], within_s: float, reply: Callable[[bool | None], None]
+    ) -> None:
+        number, actions = asked
+        timer = self.loop.call_later(within_s, lambda: self._do(self.pact.late(number)))
+
+        def answered(yes: bool | None) -> None:
+            timer.cancel()
+            reply(yes)
+
+        self.replies[number] = answered
+        self._do(actions)
+
+    def called_back(self, body: bytes, reply: Callable[[bool | None], None]) -> None:
+        """A call-back names no job of ours: the other process may have it. None: come again."""
+        self._ask(self.pact.called_back(body.decode("utf-8", "surrogateescape")), BACK_S, reply)
+
+    def _own(self, call: Call) -> Answer:
+        answer = self.own.carry_out(call)
+        if call.verb.named:
+            try:
+                write_note(os.path.join(self.path, BANS), note(self.dispatcher.table.cordoned))
+            except OSError as error:
+                log.error("bans_unwritten", extra={"kv": {"why": error}})
+        return answer
+
+    def call(self, call: Call, reply: Reply) -> None:
+        """An operator's call: carried out here and by the other process before it is a SUCCESS."""
+        answer = self._own(call)
+        if call.verb is Verb.RESUME and self.dispatcher.life.retired:
+            answer = Answer(True, "said to the process that serves")  # this one may be stopping
+        if call.verb is Verb.HEALTH or not answer.done or not self.pact.peers:
+            reply(answer)
+            return
+
+        def answered(yes: bool | None) -> None:
+            word = "is not ready for it" if yes is False else "did not answer"
+            reply(answer if yes else Answer(False, f"the other process of the upgrade {word}; call again"))
+
+        self._ask(self.pact.ask(call.verb.value, call.server), CALL_S, answered)
+
+
+def server_of(raw: Any) -> Server:
+    """A server as `_welcome` tells it."""
+    worker, zone, kind, cell, state, weight, started, host, port = raw
+    entry = WorkerEntry(
+        str(worker), int(zone), int(kind), int(cell), WorkerState(state), float(weight),
+        None if started is None else float(started),
+    )
+    return Server(entry, (str(host), int(port)))
+
+
+def key_of(dispatch: Dispatch) -> str:
+    """A dispatch's name on the channel."""
+    return f"{dispatch.session.number}.{dispatch.number}"
+
+
+def told(dispatch: Dispatch) -> Message:
+    """A dispatch as the heir counts it."""
+    asked = dispatch.session.asked
+    return {
+        "key": key_of(dispatch), "worker": dispatch.server, "slots": asked.slots, "memory": asked.memory,
+        "sent_ms": dispatch.sent_ms, "class": dispatch.session.job_class,
+    }
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -9,6 +9,7 @@
 from hashlib import blake2b
 
 from grebestack.core.interface import Effect, Settings
+from grebestack.protocol.runners import Said
 from grebestack.routing.engine import Engine
 from grebestack.routing.session import Dispatch, Payload, Session
 from grebestack.transport.server import Connection, Request
@@ -47,10 +48,13 @@
     """Opens a session for each job; its answer goes out on the connection on which the job came."""
 
     def __init__(
-        self, engine: Engine, settings: Settings, called_back: Callable[[bytes], bool], jobs: bool = True
+        self, engine: Engine, settings: Settings, called_back: Callable[[bytes], Said], jobs: bool = True
     ) -> None:
         self.engine, self.called_back, self.jobs = engine, called_back, jobs
         self.resettle(settings)
+        # During an upgrade: asks the other process of a call-back, and tells whether an id is open there.
+        self.elsewhere: Callable[[bytes, Callable[[bool | None], None]], None] | None = None
+        self.open_elsewhere: Callable[[str], bool] = lambda call_id: False
         self.quiet_until_ms = 0.0
         self.ready = False
         self.leaving = False  # a planned stop has begun: no new connection reaches this dispatcher soon
@@ -74,7 +78,7 @@
         """Tell what a request is by its path."""
         path, get = request.path, request.method in (b"GET", b"HEAD")
         if path == b"/callback" and request.method == b"POST":
-            connection.answer(204 if self.called_back(request.body) else 400)
+            self._call_back(connection, request.body)
         elif path == b"/health/ready" and get:
             connection.answer(200 if self.ready else 503)
         elif path == b"/health/live" and get:
@@ -85,6 +89,14 @@
         else:
             connection.answer(404)
 
+    def _call_back(self, connection: Connection, body: bytes) -> None:
+        said = self.called_back(body)
+        if said is not Said.UNKNOWN or self.elsewhere is None:
+            connection.answer(400 if said is Said.NOTHING else 204)
+        else:
+            # Guards the other process's job: a 204 would end it for its runner, and nobody would hear of it.
+            self.elsewhere(body, lambda known: connection.answer(503 if known is None else 204))
+
     def gone(self, connection: Connection) -> None:
         """The client left."""
         if connection.session is not None:
@@ -124,6 +136,9 @@
         if self.leaving and self._crowded(connection):
             self.deny(connection, None if self.most_retry_after_ms is None else SPARE_MS)
             return
+        if self.open_elsewhere(call_id.decode("latin-1")):
+            connection.answer(409)
+            return
         index, deadline_ms = known
         budget_ms = math.inf if budget is None else float(budget) * 1000.0
         head = b"POST %s HTTP/1.1\r\nX-Call-Id: %s\r\n" % (request.target, call_id)
--- a/grebestack/protocol/runners.py
+++ b/grebestack/protocol/runners.py
@@ -6,6 +6,7 @@
 import logging
 import math
 from collections.abc import Callable, Mapping
+from enum import Enum
 from functools import partial
 from typing import Any
 from urllib.parse import quote
@@ -34,6 +35,14 @@
     return text.encode("utf-8", "surrogatepass")
 
 
+class Said(Enum):
+    """What a call-back was."""
+
+    NOTHING = "malformed"
+    TAKEN = "taken"
+    UNKNOWN = "of a job that is not waited for here"
+
+
 class Reports:
     """Reads load reports into the decision module's names."""
 
@@ -273,8 +282,8 @@
         pool = self.pools.pool(known.address)
         pool.submit(Probe(self, server, pool))
 
-    def called_back(self, body: bytes) -> bool:
-        """Take a call-back; False if it is malformed.
+    def called_back(self, body: bytes) -> Said:
+        """Take a call-back.
 
         It may precede the 202, repeat, or name a session that this process never knew: what is not waited for
         from that server is passed over.
@@ -283,16 +292,16 @@
             raw = json.loads(body)
             call_id, server, state = raw["id"], raw["from"], raw["state"]
         except (ValueError, KeyError, TypeError, RecursionError):
-            return False
+            return Said.NOTHING
         if not all(isinstance(value, str) for value in (call_id, server, state)):
-            return False
+            return Said.NOTHING
         call = self.calls.get((call_id, server))
         if call is None and state in FINAL and (call_id, server) in self.adopted:
             self.adopted.pop((call_id, server))(FINAL[state], result_of(raw))
-            return True
+            return Said.TAKEN
         if call is None:
             log.debug("call_back_unknown", extra={"kv": {"call_id": call_id, "server": server}})
-            return True
+            return Said.UNKNOWN
         if state in FINAL:
             del self.calls[(call_id, server)]
             if FINAL[state] is not Outcome.OK:
@@ -303,4 +312,4 @@
             self.engine.progress(call.dispatch, None)
         elif state == "running" and isinstance(raw.get("share"), int | float):
             self.engine.progress(call.dispatch, float(raw["share"]))
-        return True
+        return Said.TAKEN
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from grebestack.core import interface as api
@@ -31,6 +31,10 @@
         self.feeding = False
         self.counts: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()  # dispatches by server since `tally` was last asked
+        # During an upgrade the other process is told of these.
+        self.on_closed: Callable[[str], None] = lambda call_id: None
+        self.on_sent: Callable[[Dispatch], None] = lambda dispatch: None
+        self.on_ended: Callable[[Dispatch], None] = lambda dispatch: None
         table.on_change = lambda kind, entries: self._feed(api.WorkersListed(kind, entries))
 
     def resettle(self, settings: api.Settings) -> None:
@@ -63,7 +67,7 @@
         asked = api.RequestArrived(
             self.last, job_class, deadline_ms, slots, memory, tenant, key, cost_ms, retry, aged
         )
-        session = Session(call_id, asked, payload, frontend)
+        session = Session(call_id, asked, payload, frontend, self.settings.classes[job_class].name)
         self.sessions[self.last] = self.open_by_call_id[call_id] = session
         session.timer = self.clock.call_at(deadline_ms, partial(self._overdue, session))
         self.counts["sessions"] += 1
@@ -150,6 +154,7 @@
             self.counts["served"] += 1
             session.frontend.served(session, result)
         session.frontend.ended(dispatch)
+        self.on_ended(dispatch)
         self._forget(session)
         elapsed = self.clock.now_ms() - dispatch.sent_ms
         self._feed(
@@ -211,6 +216,7 @@
             dispatch.timer = self.clock.call_at(now + action.timeout_ms, partial(self._timed_out, dispatch))
         self.counts["dispatches"] += 1
         self.sent[action.worker] += 1
+        self.on_sent(dispatch)
         self.servers.dispatch(dispatch)
 
     def _cancel(self, session: Session, number: int) -> None:
@@ -262,6 +268,7 @@
             return False
         session.closed = True
         del self.open_by_call_id[session.call_id]
+        self.on_closed(session.call_id)
         self._forget(session)
         return True
 
--- a/grebestack/routing/table.py
+++ b/grebestack/routing/table.py
@@ -64,6 +64,11 @@
             return server
         return replace(server, entry=replace(entry, state=WorkerState.DRAINING))
 
+    def remember(self, names: Iterable[str]) -> None:
+        """Some list has named these, perhaps one of another process."""
+        for name in names:
+            self._remember(name)
+
     def _remember(self, name: str) -> None:
         self.names.pop(name, None)
         self.names[name] = None
--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -334,6 +334,14 @@
         min(idle, key=lambda connection: connection.idle_since).abort()
         return True
 
+    def keep_within(self, most: int) -> None:
+        """Hold so many connections at the most; idle ones beyond that are closed now."""
+        self.most = most
+        over = sum(len(pool.all) + pool.opening for pool in self.pools.values()) - most
+        idle = sorted((c for pool in self.pools.values() for c in pool.idle), key=lambda c: c.idle_since)
+        for connection in idle[: max(0, over)]:
+            connection.abort()
+
     def dial(self, pool: Pool) -> None:
         """Open one connection. The loop offers only a coroutine: the task is a connection's, no request's."""
         self.tried += 1
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import logging
+import os
 import time
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol, cast
@@ -79,6 +81,7 @@
         self.busy = False
         self.closing = False  # the connection ends with the answer that is due
         self.paused = False
+        self.adopted = False  # another process accepted it and handed it over between two requests
         self.crowded = False  # it came while the budget was spent
         self.session: Any = None  # the handler's own note
         self.asked = False  # whether it has brought a job: a client's, not a runner's
@@ -100,6 +103,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.acceptor.opened(self)
+        if self.adopted:
+            self.acceptor.engaged(self)
+            self.acceptor.idled(self)
 
     def data_received(self, data: bytes) -> None:
         if self.closing or self.refused is not None:
@@ -267,6 +273,20 @@
         if not self.busy:
             self._shut()
 
+    def descriptor(self) -> int | None:
+        """A new descriptor of its socket; None if it can't be handed over now."""
+        if self.transport is None or self.transport.is_closing() or self.closing or self.busy or self.partial:
+            return None
+        if self.queued or self.paused or self.transport.get_write_buffer_size():
+            return None
+        return os.dup(self.transport.get_extra_info("socket").fileno())
+
+    def part(self) -> None:
+        """Another process goes on with it: close this one's own descriptor, and say nothing to the client."""
+        assert self.transport is not None
+        self.closing = True
+        self.transport.abort()
+
     def _shut(self) -> None:
         if self.transport is not None:
             self.transport.close()
@@ -288,6 +308,7 @@
         self.waiting: OrderedDict[Connection, float] = OrderedDict()  # since when a request is owed
         self.left: OrderedDict[Connection, float] = OrderedDict()  # since when the last answer is being read
         self.leading = Leading.NONE
+        self.handing: Callable[[Connection, bool], bool] | None = None  # idle ones go elsewhere
 
     def __call__(self) -> Connection:
         return Connection(self)
@@ -337,7 +358,8 @@
 
     def idled(self, connection: Connection) -> None:
         """A connection waits for its next request."""
-        self.idle[connection] = None
+        if self.handing is None or not self.handing(connection, True):
+            self.idle[connection] = None
 
     def closed(self, connection: Connection) -> None:
         """A connection has ended."""
@@ -345,6 +367,27 @@
         for crowd in (self.idle, self.waiting, self.left):
             crowd.pop(connection, None)
 
+    def adopt(self, asked: bool, idle: bool) -> Connection:
+        """A connection that another process hands over; `idle`: it owes no request."""
+        connection = Connection(self)
+        connection.adopted, connection.asked = idle, asked
+        return connection
+
+    def resize(self, most: int) -> None:
+        """Keep within another budget from now on; idle connections beyond it are closed as others come."""
+        self.most, self.margin = most, most // 8
+
+    def engaged_now(self) -> bool:
+        """Whether some connection has a request that has begun, or an answer that it has not read."""
+        return any(c.busy or c.partial or c in self.left for c in self.connections)
+
+    def hand_over(self, handing: Callable[[Connection, bool], bool]) -> None:
+        """Hand over what is idle, now and later; a request that has begun is answered here first."""
+        self.handing = handing
+        for connection in [*self.idle, *self.waiting]:
+            if handing(connection, connection in self.idle):
+                self.engaged(connection)
+
     def lead(self, leading: Leading) -> None:
         """Lead connections out, more or fewer of them, or none any more.
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,15 +19,17 @@
     "jobs": {"core", "routing", "waiting", "jobs"},
     "drmaa": {"core", "routing", "transport", "waiting", "jobs", "drmaa"},
     "control": {"control"},
+    "handover": {"handover"},
     "program": {
         "core", "routing", "transport", "protocol", "membership", "consul", "waiting", "jobs", "drmaa",
-        "control", "program",
+        "control", "handover", "program",
     },
 }
 # Opening a connection, which the loop offers only as a coroutine, and the program's own start.
 COROUTINES = {
     "Pools._dial", "Watch._open", "Dispatcher.run", "Dispatcher._start_drmaa", "Dispatcher._open_door",
-    "run.main",
+    "Dispatcher.listen", "Dispatcher._accept_and_serve", "Dispatcher._begin_upgrade", "Upgrade.begin",
+    "Upgrade._take", "run.main",
 }
 
 
@@ -63,4 +65,6 @@
     for path in PACKAGE.rglob("*.py"):
         walk(ast.parse(path.read_text()), "")
     assert found == COROUTINES
-    assert sorted(tasks) == ["Pools.dial", "Watch.start"]
+    assert sorted(tasks) == [
+        "Dispatcher._when_listed", "Pools.dial", "Upgrade._accept", "Upgrade._adopt", "Watch.start",
+    ]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 
 from grebestack.protocol.platform import PlatformFront
+from grebestack.protocol.runners import Said
 from grebestack.protocol.settings import settings_of
 from grebestack.routing.engine import Engine
 from grebestack.transport import server
@@ -38,7 +39,7 @@
 def test_while_it_stops_some_of_its_clients_connections_stay_free() -> None:
     # Guards against a job that takes the last connection: clients can open no other one here any more.
     engine = Taker()
-    front = PlatformFront(cast(Engine, engine), settings_of(OPTIONS), lambda body: True)
+    front = PlatformFront(cast(Engine, engine), settings_of(OPTIONS), lambda body: Said.TAKEN)
     acceptor = server.Acceptor(front, most=64)
     wires = [Wire(acceptor()) for _ in range(24)]
     for n, wire in enumerate(wires):
@@ -54,7 +55,7 @@
 
 def test_a_lone_client_is_served_on_while_it_stops() -> None:
     engine = Taker()
-    front = PlatformFront(cast(Engine, engine), settings_of(OPTIONS), lambda body: True)
+    front = PlatformFront(cast(Engine, engine), settings_of(OPTIONS), lambda body: Said.TAKEN)
     wire = Wire(server.Acceptor(front, most=64)())
     front.leaving = True
     ask(wire, "a")
