Take blanks round a header's value for no part of it; tests of upgrades

The log's malformed lines show ids with a blank at the end; transport/server.py on_header kept what httptools leaves after a value, so that 'X-Call-Class: order ' named no class and 'Content-Length: 2 ' was no number.

Change: blanks are taken off on both sides, for clients and runners. Tests of the handover: its pact in random orders of words and deaths, torn files, two and three real processes under load, call-backs to the wrong one, kills of either.

--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -133,7 +133,7 @@
             exchange.answered(response)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.response.headers[name.lower()] = value
+        self.response.headers[name.lower()] = value.strip(b" \t")  # the parser leaves blanks after it
 
     def on_headers_complete(self) -> None:
         self.response.status = self.parser.get_status_code()
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -169,7 +169,9 @@
         if self.headed:
             return
         self._count_head(len(name) + len(value))
-        name = name.lower()
+        # Guards clients that write blanks after a value, as they may: they are no part of it, and the parser
+        # leaves them there.
+        name, value = name.lower(), value.strip(b" \t")
         if name in ONCE and name in self.reading.headers:
             self.refused = 400
         self.reading.headers[name] = value
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import socket
 import subprocess
 import sys
 import threading
@@ -80,6 +81,21 @@
         time.sleep(0.005)
 
 
+def say(door: Address, line: str) -> str:
+    """One call at the operators' door."""
+    with socket.create_connection(door, 30) as caller:
+        caller.sendall(line.encode() + b"\n")
+        return caller.makefile().read()
+
+
+def answers(door: Address) -> bool:
+    """Whether the door says that its process is ready."""
+    try:
+        return say(door, "health").startswith("SUCCESS")
+    except OSError:
+        return False
+
+
 def call(address: Address, method: str, path: str, body: bytes, headers: dict[str, str]) -> Answer:
     """One request on a connection of its own."""
     connection = http.client.HTTPConnection(*address, timeout=30)
@@ -266,6 +282,7 @@
         self.front: Address = ("127.0.0.1", free_port())
         self.door: Address = ("127.0.0.1", free_port())
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.held: socket.socket | None = None  # the clients' listening socket, where the platform holds it
 
     @property
     def process(self) -> subprocess.Popen[bytes]:
@@ -296,6 +313,29 @@
         self.launch([], environ)
         return self.front
 
+    def start_shared(self) -> Address:
+        """Start a process on the clients' socket, which the platform holds; back once its door says ready.
+
+        The first is the dispatcher, each further one an upgrade of it. All share one folder.
+        """
+        if self.held is None:
+            self.held = socket.create_server(self.front, backlog=256)
+            (self.folder / "config.json").write_text(
+                json.dumps({"settings": OPTIONS, "seed": "1f", "limits": {"sockets": 256}})
+            )
+        door = ("127.0.0.1", free_port())
+        environ = {
+            "RELAY_NAME": "n0", "RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
+            "RELAY_LISTEN": f"127.0.0.1:{self.front[1]}", "RELAY_LISTEN_FD": str(self.held.fileno()),
+            "RELAY_DISCOVERY": f"127.0.0.1:{self.discovery.address[1]}",
+            "RELAY_CONTROL": f"127.0.0.1:{door[1]}",
+        }
+        command = [sys.executable, "-m", "grebestack"]
+        self.processes.append(
+            subprocess.Popen(command, env=os.environ | environ, pass_fds=[self.held.fileno()])
+        )
+        return door
+
     def launch(self, arguments: list[str], environ: dict[str, str]) -> None:
         """Start the program and wait until it is ready."""
         command = [sys.executable, "-m", "grebestack", *arguments]
@@ -359,14 +399,14 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
+        if self.held is not None:
+            self.held.close()
         for stand_in in {self.discovery, self.source, *self.runners}:
             stand_in.close()
 
 
 def free_port() -> int:
     """A port that the system gave out just now and nothing listens on."""
-    import socket
-
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         port: int = probe.getsockname()[1]
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any, cast
 
 from hypothesis import strategies as st
@@ -469,3 +470,42 @@
 
 TestServerConnection = ServerConnectionModel.TestCase
 TestPool = PoolModel.TestCase
+
+
+class Keeper:
+    """Keeps the requests that come."""
+
+    def __init__(self) -> None:
+        self.got: list[server.Request] = []
+
+    def request(self, connection: server.Connection, request: server.Request) -> None:
+        self.got.append(request)
+        connection.answer(200)
+
+    def gone(self, connection: server.Connection) -> None:
+        pass
+
+
+def test_blanks_round_a_value_are_no_part_of_it_however_it_is_cut() -> None:
+    # Guards jobs of clients that write `X-Call-Class: order ` : they were answered 400.
+    data = b"POST /api HTTP/1.1\r\nX-Call-Class:\t order \t\r\nContent-Length: 2 \r\n\r\nhi"
+    for size in (1, 3, len(data)):
+        keeper = Keeper()
+        wire = Wire(server.Acceptor(keeper, most=8)())
+        for at in range(0, len(data), size):
+            wire.protocol.data_received(data[at : at + size])
+        (got,) = keeper.got
+        assert got.headers == {b"x-call-class": b"order", b"content-length": b"2"} and got.body == b"hi"
+
+
+def test_a_runners_answer_may_come_byte_by_byte_with_blanks() -> None:
+    pool = cast(Any, SimpleNamespace(pools=SimpleNamespace(most_body=99), answered_in=lambda seconds: None))
+    pool.up = pool.free = pool.lost = lambda connection: None
+    connection, got = client.Connection(pool), list[client.Response]()
+    wire = Wire(connection)
+    exchange = cast(Any, SimpleNamespace(careful=False, committed=lambda: None, answered=got.append))
+    connection.start(exchange, b"x")
+    for byte in b"HTTP/1.1 503 Busy\r\nX-Rejected: 1 \r\nContent-Length: 2\t\r\n\r\nno":
+        connection.data_received(bytes([byte]))
+    assert [(r.status, r.headers[b"x-rejected"], r.body) for r in got] == [(503, b"1", b"no")]
+    assert not wire.closed
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,7 +17,7 @@
 from grebestack.core.interface import ListKind, WorkerEntry, WorkerState
 from grebestack.program.life import KEPT_MS, LED_MS, Clients, Life, Stage
 from grebestack.routing.table import Server, ServerTable
-from tests.standins import Address, World, call, wait_until
+from tests.standins import World, call, say, wait_until
 
 LINES = st.sampled_from([
     b"health", b"health ", b"cordon s-1", b"cordon", b"cordon a b", b"uncordon s-1", b"quiesce", b"resume x",
@@ -98,13 +98,6 @@
     assert (life.stage is Stage.STOPPING) is stopped
 
 
-def say(door: Address, line: str) -> str:
-    """One call at the door."""
-    with socket.create_connection(door, 30) as caller:
-        caller.sendall(line.encode() + b"\n")
-        return caller.makefile().read()
-
-
 def test_bad_callers_delay_nobody(world: World) -> None:
     world.runner("s-1")
     world.start()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,307 @@
+"""Upgrades: the pact in random orders of words and deaths, and two real processes on one socket."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import random
+import signal
+import threading
+import time
+from collections import deque
+from functools import partial
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from grebestack.core import interface as core
+from grebestack.core.keepsake import Elsewhere, kept, take
+from grebestack.core.policy import Policy
+from grebestack.handover import frames, pact
+from tests.driver import KEYED, SAFE, UNSAFE, settings
+from tests.standins import World, answers, call, say, wait_until
+
+
+class Process:
+    """One side of the pact, with a channel to each other process that keeps the order of words."""
+
+    def __init__(self, play: Play, number: int) -> None:
+        self.play, self.number, self.pact = play, number, pact.Pact()
+        self.alive, self.done, self.replies = True, list[str](), dict[int, bool | None]()
+        self.asked: dict[int, tuple[str, set[int]]] = {}  # what, and who was a peer then
+        self.handed_to: int | None = None
+        if play.holder is None or not play.processes[play.holder].alive:
+            self.do(self.pact.alone())
+        else:
+            play.channels |= {(number, play.holder): deque(), (play.holder, number): deque()}
+            self.do(self.pact.found(play.holder, ""))
+
+    def do(self, actions: list[pact.Action]) -> None:
+        for action in actions:
+            if isinstance(action, pact.Tell):
+                self.tell(action.peer, action.message)
+            elif isinstance(action, pact.Welcome):
+                self.tell(action.peer, {"is": "welcome", "done": list(self.done)})
+            elif isinstance(action, pact.TakeOver):
+                self.done = list(action.what["done"])
+            elif isinstance(action, pact.Meet):
+                if action.on:
+                    self.play.holder = self.number
+                elif self.play.holder == self.number:
+                    self.play.holder = None
+            elif isinstance(action, pact.Accept) and not action.on:
+                assert action.to is not None
+                self.handed_to = action.to
+                self.tell(action.to, {"is": "retired", "open": [], "out": []})
+            elif isinstance(action, pact.CarryOut):
+                self.done.append(action.server)
+                self.tell(action.peer, {"is": "did", "n": action.number, "yes": True})
+            elif isinstance(action, pact.CalledBack):
+                yes = action.body == f"of {self.number}"
+                self.tell(action.peer, {"is": "known", "n": action.number, "yes": yes})
+            elif isinstance(action, pact.Reply):
+                assert action.number not in self.replies, "answered twice"
+                self.replies[action.number] = action.yes
+            elif isinstance(action, pact.Apart):
+                self.play.channels.pop((self.number, action.peer), None)
+
+    def tell(self, peer: int, message: dict[str, Any]) -> None:
+        if (self.number, peer) in self.play.channels:
+            packets = frames.pack(message)
+            self.play.channels[(self.number, peer)].append(packets)
+
+
+class Play:
+    """A few processes, one after the other."""
+
+    def __init__(self) -> None:
+        self.processes: list[Process] = []
+        self.channels: dict[tuple[int, int], deque[list[bytes]]] = {}
+        self.holder: int | None = None
+
+    def living(self) -> list[Process]:
+        return [process for process in self.processes if process.alive]
+
+    def deliver(self, way: tuple[int, int]) -> None:
+        unpacker, message = frames.Unpacker(), None
+        for packet in self.channels[way].popleft():
+            message = unpacker.feed(packet)
+        to = self.processes[way[1]]
+        if to.alive and message is not None and (way[1], way[0]) in self.channels:
+            to.do(to.pact.heard(way[0], message))
+
+    def kill(self, process: Process) -> None:
+        process.alive = False
+        for way in [w for w in self.channels if process.number in w]:
+            del self.channels[way]
+        for other in self.living():
+            other.do(other.pact.lost(process.number))
+
+    def settle(self) -> None:
+        while ways := [way for way, queue in self.channels.items() if queue]:
+            self.deliver(ways[0])
+
+
+def may_start(one: pact.Pact) -> bool:
+    return not one.begun and (one.elder is None or one.welcomed)
+
+
+@given(seed=st.integers(0, 10_000))
+def test_whatever_the_order_one_serves_and_questions_are_answered_once(seed: int) -> None:
+    chance, play = random.Random(seed), Play()
+    play.processes.append(Process(play, 0))
+    play.processes[0].do(play.processes[0].pact.started())
+    for step in range(60):
+        ways = [way for way, queue in play.channels.items() if queue]
+        what = chance.choice(["deliver"] * 6 + ["new", "start", "kill", "call", "back"])
+        process = chance.choice(play.living())
+        if what == "deliver" and ways:
+            play.deliver(chance.choice(ways))
+        elif what == "new" and len(play.processes) < 6 and len(play.living()) < 3:
+            play.processes.append(Process(play, len(play.processes)))
+        elif what == "start" and may_start(process.pact):
+            process.do(process.pact.started())
+        elif what == "kill" and len(play.living()) > 1 and chance.random() < 0.5:
+            play.kill(process)
+        elif what == "call" and process.pact.begun:
+            process.done.append(f"call {step}")
+            number, actions = process.pact.ask("cordon", f"call {step}")
+            process.asked[number] = f"call {step}", set(process.pact.peers)
+            process.do(actions)
+        elif what == "back" and process.pact.begun:
+            owner = chance.randrange(len(play.processes))
+            number, actions = process.pact.called_back(f"of {owner}")
+            process.asked[number] = f"of {owner}", set(process.pact.peers)
+            process.do(actions)
+        for one in play.living():
+            for number, yes in one.replies.items():
+                called, peers = one.asked[number]
+                if yes and called.startswith("call"):
+                    others = [play.processes[peer] for peer in peers]
+                    assert all(called in other.done for other in others if other.alive)
+    for process in play.living():
+        if may_start(process.pact):
+            process.do(process.pact.started())
+    play.settle()
+    for one in play.living():
+        assert one.asked.keys() == one.replies.keys()
+        for number, (asked, peers) in one.asked.items():
+            owner = int(asked.split()[1])
+            if asked.startswith("of") and owner in peers and play.processes[owner].alive:
+                assert one.replies[number], "a call-back for a living process was settled without its word"
+    serving = [p for p in play.living() if p.pact.accepting]
+    assert serving or not any(p.pact.begun for p in play.living())
+
+
+@given(st.sets(st.text(max_size=20), max_size=5), st.data())
+def test_a_torn_or_foreign_file_is_refused(bans: set[str], data: st.DataObject) -> None:
+    whole = frames.note(bans)
+    assert frames.read_note(whole) == bans
+    cut = data.draw(st.integers(0, len(whole) - 2))
+    for broken in (whole[:cut], b"{}", whole.replace(b'"version":1', b'"version":2')):
+        with pytest.raises(frames.FrameError):
+            frames.read_note(broken)
+
+
+def test_long_messages_go_in_packets_and_foreign_ones_are_refused() -> None:
+    message, unpacker = {"is": "welcome", "names": ["n" * 50] * 5000}, frames.Unpacker()
+    packets = frames.pack(message)
+    assert len(packets) > 3 and max(map(len, packets)) <= frames.PIECE + 1
+    assert [unpacker.feed(packet) for packet in packets][-1] == message
+    for foreign in (b"GET / HTTP/1.1", b".[]", b".{", b".{}", b""):
+        with pytest.raises(frames.FrameError):
+            frames.Unpacker().feed(foreign)
+
+
+def test_what_was_learned_is_taken_whole_or_not_at_all() -> None:
+    listed = core.WorkersListed(core.ListKind.FULL, (core.WorkerEntry("w"),))
+    old, new = Policy(settings(), 1), Policy(settings(classes=(UNSAFE, SAFE, KEYED)), 2)
+    for policy in old, new:
+        policy.handle(1.0, listed)
+    old.learned.run_ms[2], old.workers["w"].pace, old.learned.kind_slots[0] = 321.0, 2.0, 8.0
+    told = json.loads(json.dumps(kept(old)))
+    torn = json.loads(json.dumps(told))
+    torn["others"] = [1.0, float("nan")]
+    with pytest.raises(ValueError):
+        take(new, torn)
+    assert new.workers["w"].pace == 1.0
+    take(new, told)
+    assert new.workers["w"].pace == 2.0 and new.learned.kind_slots == {0: 8.0}
+    assert new.learned.run_ms[0] == 321.0  # by the class's name, not by its place
+
+
+def test_the_elders_jobs_count_as_ones_own_until_they_end() -> None:
+    policy = Policy(settings(report_fields=frozenset({"free_slots"}), live_weights=True), 1)
+    policy.handle(1.0, core.WorkersListed(core.ListKind.FULL, (core.WorkerEntry("w", weight=8.0),)))
+    policy.learned.kind_slots[0] = 8.0
+    elsewhere = Elsewhere(policy)
+    for n in range(6):
+        elsewhere.sent(f"{n}", "w", 1.0, 0.0, 100.0, "order")
+    elsewhere.sent("0", "w", 1.0, 0.0, 100.0, "order")
+    elsewhere.sent("x", "gone", 1.0, 0.0, 100.0, "order")
+    policy.handle(2000.0, core.WorkersListed(core.ListKind.CHANGES, (core.WorkerEntry("w", weight=4.5),)))
+    view = policy.workers["w"]
+    assert (view.jobs, view.used) == (6, 6.0) and view.others < 1.0
+    elsewhere.ended("0", 2001.0)
+    elsewhere.over(2002.0)
+    assert (view.jobs, view.used) == (0, 0.0)
+
+
+def handed_over(door: Any) -> bool:
+    return "handed over" in say(door, "health")
+
+
+def job(call_id: str) -> dict[str, str]:
+    return {"X-Call-Id": call_id, "X-Call-Class": "order"}
+
+
+def test_an_upgrade_under_load_loses_no_job_and_keeps_bans(world: World) -> None:
+    runners = [world.runner(f"s-{n}", seconds=0.3) for n in range(4)]
+    first = world.start_shared()
+    wait_until(lambda: answers(first))
+    assert say(first, "cordon s-3").startswith("SUCCESS")
+    over, answered = threading.Event(), list[int]()
+
+    def client(number: int) -> None:
+        connection, n = http.client.HTTPConnection(*world.front, timeout=30), 0
+        while not over.is_set():
+            n += 1
+            connection.request("POST", "/api", b"", job(f"{number}-{n}"))
+            answer = connection.getresponse()
+            answer.read()
+            answered.append(answer.status)
+            time.sleep(0.02 * number)
+
+    clients = [threading.Thread(target=client, args=(n,)) for n in range(5)]
+    for thread in clients:
+        thread.start()
+    for _ in range(2):
+        old, old_door = world.process, first
+        wait_until(lambda: len(answered) > 10)
+        second = world.start_shared()
+        wait_until(partial(answers, second))
+        wait_until(partial(handed_over, old_door))
+        assert say(second, "cordon nobody").startswith("FAILURE")
+        assert say(second, "cordon s-2").startswith("SUCCESS")  # said to one, it holds in both
+        assert say(first, "uncordon s-2").startswith("SUCCESS")
+        old.send_signal(signal.SIGTERM)
+        assert old.wait(20) == 0
+        first = second
+        answered.clear()
+    wait_until(lambda: len(answered) > 10)
+    over.set()
+    for thread in clients:
+        thread.join()
+    assert set(answered) == {200} and not runners[3].jobs
+    assert max(world.orders.runs.values()) == 1
+    assert say(first, "uncordon s-3").startswith("SUCCESS")
+
+
+def test_a_call_back_that_comes_to_the_other_process_is_answered_by_the_owners_word(world: World) -> None:
+    runner = world.runner("s-1", seconds=60.0)
+    first = world.start_shared()
+    wait_until(lambda: answers(first))
+    pending = world.in_background(lambda: call(world.front, "POST", "/api", b"", job("long")))
+    wait_until(lambda: len(runner.jobs) == 1)
+    second = world.start_shared()
+    wait_until(lambda: answers(second))
+    assert call(world.front, "POST", "/api", b"", job("long"))[0] == 409
+    world.processes[0].send_signal(signal.SIGTERM)
+    assert runner.call_back("nobody's", state="done", result="") == 204
+    for _ in range(2):
+        assert runner.call_back("long", state="done", result="it") == 204
+    assert pending()[0] == 200 and pending()[2] == b"it"
+    assert world.processes[0].wait(20) == 0
+    assert call(world.front, "GET", "/health/ready", b"", {})[0] == 200
+
+
+def test_when_the_new_process_dies_the_old_one_serves_on(world: World) -> None:
+    world.runner("s-1")
+    first = world.start_shared()
+    wait_until(lambda: answers(first))
+    for early in (True, False):
+        door = world.start_shared()
+        if not early:
+            wait_until(partial(answers, door))
+            wait_until(lambda: not answers(first))
+        world.kill()
+        wait_until(lambda: answers(first))
+        assert call(world.front, "POST", "/api", b"", job(f"after-{early}"))[0] == 200
+    assert say(first, "quiesce").startswith("SUCCESS")
+    assert say(first, "resume") == "SUCCESS serving\n"
+
+
+def test_bans_outlive_an_old_process_that_is_killed_before_it_could_tell(world: World) -> None:
+    runner = world.runner("s-1")
+    first = world.start_shared()
+    wait_until(lambda: answers(first))
+    assert say(first, "cordon s-1").startswith("SUCCESS")
+    world.kill()
+    second = world.start_shared()
+    wait_until(lambda: answers(second))
+    assert call(world.front, "POST", "/api", b"", job("a") | {"X-Budget": "0.3"})[0] == 503
+    assert not runner.jobs
+    assert say(second, "uncordon s-1").startswith("SUCCESS")
+    assert call(world.front, "POST", "/api", b"", job("b"))[0] == 200
