The heir knows slots and running times before it draws cold runners' turns

The new process's books: cold runners' next turns 1.8 to 6.5 s away where the old one's were at most 1.1 s (policy._cold_wait). They were drawn while the list was taken over, before program/upgrade.py _take_over took what was learned: one slot for each runner, not eight. Ruled out: strikes and ceilings (0 and 2 to 12 in the books), the room of connections.

Change: what was learned is taken before the list, and what is known of each server after it.

What is left: two of three warm runners end at 16 s while five of seven are cold.

--- a/grebestack/program/upgrade.py
+++ b/grebestack/program/upgrade.py
@@ -210,6 +210,9 @@
             if what["quiesced"]:
                 d.life.quiesce(d.clock.now_ms())
             if not d.table.known:  # else it comes late, and what is known is newer
+                # Before the list: what a cold server may be sent is drawn when it is listed, from how many slots
+                # its kind has and how long jobs run. After it: what is known of each server.
+                keepsake.take(d.engine.policy, what["learned"])
                 d.table.update(ListKind.CACHED, [server_of(raw) for raw in what["servers"]])
                 keepsake.take(d.engine.policy, what["learned"])
         except (KeyError, ValueError, TypeError, AttributeError) as error:
