The heir accepts only once the elder has stopped; answers and lists without end are ended

Cause: a test's job with an id open in the old process was taken by the new one, which accepted before it was told of open ids (handover/pact.py started, _on_retired): an id that comes twice could have run twice. The order is turned round; connections wait in the shared socket meanwhile.

Also: heads, trailers and interim answers of runners without end were read on until the deadline (transport/client.py counted bodies alone), and a long line of the list in small pieces was copied for each piece.

--- a/grebestack/handover/pact.py
+++ b/grebestack/handover/pact.py
@@ -4,10 +4,10 @@
 is the elder of the next, while the first elder may still be ending its jobs. Peers are numbers that the shell
 gives out.
 
-Order matters in three places. The heir accepts before it says `ready`, so that at no time nobody accepts. The
-elder gives up the meeting point when it hears that, so that a third process meets the one that serves. And a
-question (a call at the door, a call-back) is answered once all peers have spoken or are lost: silence is no
-answer.
+Order matters in three places. The heir accepts once the elder has stopped and told which jobs are open there,
+so that no id can come to both; meanwhile connections wait in the listening socket, which neither closes. The
+elder gives up the meeting point before that, so that a third process meets the one that serves. And a question
+(a call at the door, a call-back) is answered once all peers have spoken or are lost: silence is no answer.
 """
 
 from __future__ import annotations
@@ -128,6 +128,7 @@
         self.welcomed = False
         self.begun = False
         self.accepting = False
+        self.retired = False  # the heir has taken over
         self.meeting = False
         self.stopping = False
         self.questions: dict[int, Question] = {}
@@ -149,12 +150,19 @@
         return [Meet(True), Share(1)]
 
     def started(self) -> list[Action]:
-        """The start is over: clients may come here."""
-        self.begun = self.accepting = True
-        actions: list[Action] = [Accept(True)]
-        if self.elder is not None:
-            actions.append(Tell(self.elder, {"is": "ready"}))
-        return actions
+        """The start is over: clients may come here, once the elder has stopped to accept them."""
+        self.begun = True
+        return self._accept() if self.elder is None else [Tell(self.elder, {"is": "ready"})]
+
+    def overdue(self) -> list[Action]:
+        """The elder has been waited for long enough: it hangs."""
+        return self._accept()
+
+    def _accept(self) -> list[Action]:
+        if not self.begun or self.accepting or self.retired:
+            return []
+        self.accepting = True
+        return [Accept(True)]
 
     def stop(self) -> None:
         """This process has been told to end."""
@@ -192,14 +200,11 @@
         if peer == self.elder:
             self.elder = None
             self.elders_open.clear()
-            actions += [Count(None), *self._meet()]
+            actions += [Count(None), *self._meet(), *self._accept()]
         if peer == self.heir:
-            self.heir = None
+            self.heir, self.retired = None, False
             if not self.stopping:
-                if self.begun and not self.accepting:
-                    self.accepting = True
-                    actions.append(Accept(True))
-                actions += self._meet()
+                actions += [*self._accept(), *self._meet()]
         return [*actions, Share(1 + len(self.peers))]
 
     def _meet(self) -> list[Action]:
@@ -243,6 +248,7 @@
         if peer != self.heir or not self.accepting:
             return []
         self.accepting = self.meeting = False
+        self.retired = True
         return [Meet(False), Accept(False, peer)]
 
     def _on_retired(self, peer: int, message: Message) -> list[Action]:
@@ -250,7 +256,8 @@
             return []
         self.elders_open = {str(call_id) for call_id in message["open"][:MOST_OPEN]}
         self.meeting = True
-        return [Meet(True), *(Count({"is": "sent", **sent}) for sent in message["out"])]
+        counts = (Count({"is": "sent", **sent}) for sent in message["out"])
+        return [Meet(True), *counts, *self._accept()]
 
     def _on_sent(self, peer: int, message: Message) -> list[Action]:
         return [Count(message)] if peer == self.elder else []
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -38,6 +38,7 @@
 log = logging.getLogger(__name__)
 SPARE_SOCKETS = 48  # standard streams, the loop's own, listeners, the watch, room to turn callers away
 DOOR_SOCKETS = 20  # set aside for the operators' door, where there is one: callers, and some just going
+SHARED_SOCKETS = 44  # the same two for each process of an upgrade, as few as do
 LIST_WAIT_S = 1.0  # ready without a live list after this
 STATS_S = 5.0
 TALLY_S = 1.0
@@ -82,7 +83,6 @@
         self.acceptor = Acceptor(self.front, clients)
         self.server: asyncio.Server | None = None
         self.upgrade: Upgrade | None = None
-        self.starting: asyncio.Task[None] | None = None
         self.roster: Roster | None = None
         if config.membership is not None:
             from grebestack.program import appliance
@@ -98,10 +98,14 @@
 
     def _room(self, among: int) -> tuple[int, int]:
         """Connections from clients at each front and to servers, where so many processes share the room."""
-        spare = SPARE_SOCKETS + (DOOR_SOCKETS if self.config.control else 0)
-        budget = max(64 // among, self.config.sockets // among - spare)
-        clients = budget * 13 // 20
-        return clients // (1 if self.config.drmaa is None else 2), budget - clients * 9 // 8
+        most, spare = self.config.sockets, SPARE_SOCKETS + (DOOR_SOCKETS if self.config.control else 0)
+        if among == 1:
+            budget = max(64, most - spare)
+            clients = budget * 13 // 20
+            return clients // (1 if self.config.drmaa is None else 2), budget - clients * 9 // 8
+        # Clients' connections pass from one process to the other, so that both have the whole of their room.
+        clients = most * 21 // 50
+        return clients, max(8, (most - clients * 9 // 8) // among - SHARED_SOCKETS)
 
     def share(self, among: int) -> None:
         """Keep to a part of the room for connections, with another process of an upgrade or without."""
@@ -213,14 +217,15 @@
         if self.life.stage is Stage.STOPPING:
             return
         if self.table.known or time.monotonic() >= until:
-            if self.server is None:
-                self.starting = self.loop.create_task(self._accept_and_serve())
-            else:
+            if self.upgrade is None:
                 self._serve()
+            else:
+                self.upgrade.started()
         else:
             self.loop.call_later(0.01, self._when_listed, until)
 
-    async def _accept_and_serve(self) -> None:
+    async def accept_and_serve(self) -> None:
+        """Accept clients and say so: at the end of the start, or again once the heir is lost."""
         await self.listen()
         self._serve()
 
@@ -228,8 +233,6 @@
         self.life.started(self.engine.clock.now_ms())
         self.apply()
         log.info("ready", extra={"kv": {"servers": len(self.table.servers), "live": self.table.known}})
-        if self.upgrade is not None:
-            self.upgrade.started()
 
     async def _begin_upgrade(self) -> None:
         from grebestack.program.upgrade import Upgrade  # only here: it is no part of other days
--- a/grebestack/program/upgrade.py
+++ b/grebestack/program/upgrade.py
@@ -30,6 +30,7 @@
 FOLDER = "grebestack"  # in $TMPDIR
 BANS = "bans"
 WELCOME_S = 4.0  # an elder that says nothing for so long is not waited for
+RETIRE_S = 1.0  # an elder has so long to stop accepting
 AGAIN_S = 0.1  # an elder that is busy with another upgrade is asked again after this
 CALL_S = 0.6  # a peer has so long for an operator's call, of which the answer falls due within a second
 BACK_S = 1.0  # and so long for a call-back; its runner comes again
@@ -112,8 +113,9 @@
         return self.last
 
     def started(self) -> None:
-        """The start is over, and this process accepts."""
+        """The start is over: clients may come here."""
         self._do(self.pact.started())
+        self.loop.call_later(RETIRE_S, lambda: self._do(self.pact.overdue()))
 
     def stop(self) -> None:
         """This process has been told to end."""
@@ -210,8 +212,8 @@
             if what["quiesced"]:
                 d.life.quiesce(d.clock.now_ms())
             if not d.table.known:  # else it comes late, and what is known is newer
-                # Before the list: what a cold server may be sent is drawn when it is listed, from how many slots
-                # its kind has and how long jobs run. After it: what is known of each server.
+                # Before the list: what a cold server may be sent is drawn when it is listed, from how many
+                # slots its kind has and how long jobs run. After it: what is known of each server.
                 keepsake.take(d.engine.policy, what["learned"])
                 d.table.update(ListKind.CACHED, [server_of(raw) for raw in what["servers"]])
                 keepsake.take(d.engine.policy, what["learned"])
@@ -238,10 +240,9 @@
         d.acceptor.handing = None
         d.engine.on_sent = d.engine.on_ended = lambda dispatch: None
         d.life.retire(False, d.clock.now_ms())
-        task = self.loop.create_task(d.listen())
+        task = self.loop.create_task(d.accept_and_serve())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        d.apply()
 
     def _retire(self, to: int | None) -> None:
         d = self.dispatcher
--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -14,6 +14,7 @@
 
 log = logging.getLogger(__name__)
 MOST_BODY = 256 * 1024  # of an answer, unless the pools are told otherwise
+MOST_HEAD = 64 * 1024  # of all that is not body
 HOLD_S = 0.012  # a round trip, until a shorter one was seen
 LEAST_HOLD_S = 0.002
 STALE_S = 0.05  # a request that is answered by a reset sooner than this met a dead connection
@@ -86,6 +87,7 @@
         self.response, self.size = Response(), 0
         self.parts: list[bytes] = []
         self.headed = self.complete = self.keep = self.heard = False
+        self.fed = 0  # bytes of the answer, of whatever kind
         if exchange.careful:
             data, self.held = data[:-1], data[-1:]
             self.hold = self.pool.pools.loop.call_later(self.pool.hold_s(), self._commit)
@@ -115,6 +117,10 @@
         if not self.heard:
             self.heard = True
             self.pool.answered_in(time.monotonic() - self.began)
+        self.fed += len(data)
+        if self.fed > self.pool.pools.most_body + MOST_HEAD:  # guards memory against heads without end
+            self.abort()
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -380,7 +386,8 @@
     def __init__(self, request: bytes, line: Callable[[bytes], None], ended: Callable[[], None]) -> None:
         self.request, self.line, self.ended = request, line, ended
         self.parser = httptools.HttpResponseParser(self)
-        self.rest = b""
+        self.parts: list[bytes] = []  # of the line that has begun
+        self.since = 0  # bytes since the last whole line
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -388,6 +395,10 @@
         self.transport.write(self.request)
 
     def data_received(self, data: bytes) -> None:
+        self.since += len(data)
+        if self.since > self.MOST_LINE:  # a line, a head or a chunk's length without end
+            self.close()
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -397,11 +408,13 @@
         if self.parser.get_status_code() != 200:
             self.close()
             return
-        *lines, self.rest = (self.rest + body).split(b"\n")
+        if b"\n" not in body:  # guards the processor against a long line in small pieces
+            self.parts.append(body)
+            return
+        *lines, rest = (b"".join(self.parts) + body).split(b"\n")
+        self.parts, self.since = [rest], len(rest)
         for line in lines:
             self.line(line)
-        if len(self.rest) > self.MOST_LINE:
-            self.close()
 
     def on_message_complete(self) -> None:
         self.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -52,7 +52,7 @@
                 elif self.play.holder == self.number:
                     self.play.holder = None
             elif isinstance(action, pact.Accept) and not action.on:
-                assert action.to is not None
+                assert action.to is not None and not play_accepts(self.play, action.to), "two accept"
                 self.handed_to = action.to
                 self.tell(action.to, {"is": "retired", "open": [], "out": []})
             elif isinstance(action, pact.CarryOut):
@@ -73,6 +73,10 @@
             self.play.channels[(self.number, peer)].append(packets)
 
 
+def play_accepts(play: Play, number: int) -> bool:
+    return play.processes[number].pact.accepting
+
+
 class Play:
     """A few processes, one after the other."""
 
@@ -115,7 +119,7 @@
     play.processes[0].do(play.processes[0].pact.started())
     for step in range(60):
         ways = [way for way, queue in play.channels.items() if queue]
-        what = chance.choice(["deliver"] * 6 + ["new", "start", "kill", "call", "back"])
+        what = chance.choice(["deliver"] * 6 + ["new", "start", "kill", "call", "back", "hang"])
         process = chance.choice(play.living())
         if what == "deliver" and ways:
             play.deliver(chance.choice(ways))
@@ -125,6 +129,8 @@
             process.do(process.pact.started())
         elif what == "kill" and len(play.living()) > 1 and chance.random() < 0.5:
             play.kill(process)
+        elif what == "hang" and process.pact.elder is None:  # a timer that is left over
+            process.do(process.pact.overdue())
         elif what == "call" and process.pact.begun:
             process.done.append(f"call {step}")
             number, actions = process.pact.ask("cordon", f"call {step}")
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,7 +28,7 @@
 # Opening a connection, which the loop offers only as a coroutine, and the program's own start.
 COROUTINES = {
     "Pools._dial", "Watch._open", "Dispatcher.run", "Dispatcher._start_drmaa", "Dispatcher._open_door",
-    "Dispatcher.listen", "Dispatcher._accept_and_serve", "Dispatcher._begin_upgrade", "Upgrade.begin",
+    "Dispatcher.listen", "Dispatcher.accept_and_serve", "Dispatcher._begin_upgrade", "Upgrade.begin",
     "Upgrade._take", "run.main",
 }
 
@@ -66,5 +66,5 @@
         walk(ast.parse(path.read_text()), "")
     assert found == COROUTINES
     assert sorted(tasks) == [
-        "Dispatcher._when_listed", "Pools.dial", "Upgrade._accept", "Upgrade._adopt", "Watch.start",
+        "Pools.dial", "Upgrade._accept", "Upgrade._adopt", "Watch.start",
     ]
