--- a/grebestack/handover/pact.py
+++ b/grebestack/handover/pact.py
@@ -6,9 +6,8 @@
 
 Order matters in three places. The heir accepts once the elder has stopped and told which jobs are open there,
 so that no id can come to both; meanwhile connections wait in the listening socket, which neither closes. The
-elder gives up the meeting point before that, so that a third process meets the one that serves. And a question,
-that is a call at the door or a call-back, is answered once all peers have spoken or are lost: silence is no
-answer.
+elder gives up the meeting point before that, so that a third process meets the one that serves. And a call at
+the door or a call-back is answered once all peers have spoken or are lost: silence is no answer.
 """
 
 from __future__ import annotations
