--- a/grebestack/__main__.py
+++ b/grebestack/__main__.py
@@ -1,4 +1,7 @@
-"""`python -m grebestack`: one dispatcher. `python -m grebestack console`: the operator's console."""
+"""`python -m grebestack`: one dispatcher. `python -m grebestack console`: the operator's console.
+
+`python -m grebestack say`: one call at the door of a running dispatcher.
+"""
 
 from __future__ import annotations
 
@@ -16,6 +19,10 @@
         from grebestack.program import console  # only here: a dispatcher that restarts must be back soon
 
         return console.main(sys.argv[2:])
+    if sys.argv[1:2] == ["say"]:
+        from grebestack.program import say
+
+        return say.main(sys.argv[2:])
     parser = argparse.ArgumentParser(prog="grebestack", description="A dispatcher of jobs to job runners.")
     parser.add_argument("--config", metavar="FILE", help="an operator's file; else RELAY_CONFIG is read")
     parser.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,6 +6,8 @@
 import os
 import random
 import socket
+import subprocess
+import sys
 import time
 from typing import Any
 
@@ -17,7 +19,7 @@
 from grebestack.core.interface import ListKind, WorkerEntry, WorkerState
 from grebestack.program.life import KEPT_MS, LED_MS, Clients, Life, Stage
 from grebestack.routing.table import Server, ServerTable
-from tests.standins import World, call, say, wait_until
+from tests.standins import World, call, free_port, say, wait_until
 
 LINES = st.sampled_from([
     b"health", b"health ", b"cordon s-1", b"cordon", b"cordon a b", b"uncordon s-1", b"quiesce", b"resume x",
@@ -117,6 +119,18 @@
     assert call(world.front, "POST", "/api", b"", {"X-Call-Id": "a", "X-Call-Class": "order"})[0] == 200
 
 
+def test_a_call_from_the_command_line(world: World) -> None:
+    world.start()
+    door = f"127.0.0.1:{world.door[1]}"
+    for words, code, says in (
+        ([door, "health"], 0, "SUCCESS ready"), ([door, "cordon", "nobody"], 1, "FAILURE 'nobody'"),
+        (["nowhere", "health"], 2, "is no HOST:PORT"), ([f"127.0.0.1:{free_port()}", "health"], 3, "refused"),
+    ):
+        command = [sys.executable, "-m", "grebestack", "say", *words]
+        result = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+        assert (result.returncode, says in result.stdout) == (code, True), result
+
+
 def test_a_cordoned_runner_gets_nothing_until_the_call_back(world: World) -> None:
     one, two = world.runner("s-1"), world.runner("s-2")
     front = world.start()
