A runner that is put back is not held to what was before its ban

Need: uncordon owes that a runner is used again promptly. core/state.py relist kept strikes, back-off, trials and shares of errors over a ban of less than a second or one with jobs still out (a view is dropped after that alone).

Also: a new process waits 2 s, not 4, for an old one that hangs, so that it is ready within 6.

--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -150,6 +150,11 @@
         """Take over the list's line; tells whether it changes who may be sent to."""
         was = (self.ready, self.entry.started_ms)
         self.entry, self.ready = entry, entry.state is WorkerState.READY
+        if self.ready and not was[0]:
+            # It was left out and is put back: what was held against it was of before, and with little traffic
+            # nothing would ever show otherwise.
+            self.strikes, self.full_until, self.breaks, self.trials = 0, 0.0, 0, 0
+            self.failing, self.trial_at, self.ceiling = {}, {}, max(1.0, self.ceiling)
         return was != (self.ready, entry.started_ms)
 
     def proven(self, now: float) -> bool:
--- a/grebestack/program/upgrade.py
+++ b/grebestack/program/upgrade.py
@@ -31,7 +31,8 @@
 log = logging.getLogger(__name__)
 FOLDER = "grebestack"  # in $TMPDIR
 BANS = "bans"
-WELCOME_S = 4.0  # an elder that says nothing for so long is not waited for
+WELCOME_S = 2.0  # an elder that says nothing for so long is not waited for
+BUSY_S = 4.0  # nor one that is busy for so long; a start may take 6 s
 RETIRE_S = 1.0  # an elder has so long to stop accepting
 AGAIN_S = 0.1  # an elder that is busy with another upgrade is asked again after this
 CALL_S = 0.6  # a peer has so long for an operator's call, of which the answer falls due within a second
@@ -70,12 +71,12 @@
     async def begin(self) -> None:
         """Find an elder and be welcomed, or be alone. What was banned holds before anything is sent."""
         self._read_bans()
-        until = self.loop.time() + WELCOME_S
+        until = self.loop.time() + BUSY_S
         while not self.welcomed.is_set():
             sock = self.meeting.find()
             if sock is None or self.loop.time() >= until:
                 if sock is not None:
-                    log.warning("elder_busy", extra={"kv": {"waited_s": WELCOME_S}})
+                    log.warning("elder_busy", extra={"kv": {"waited_s": BUSY_S}})
                     sock.close()
                 self._do(self.pact.alone())
                 return
@@ -83,7 +84,7 @@
             control = self.dispatcher.config.control
             self._do(self.pact.found(peer, ":".join(map(str, control or ()))))
             try:
-                async with asyncio.timeout(max(0.0, until - self.loop.time())):
+                async with asyncio.timeout(WELCOME_S):
                     while self.pact.elder is not None and not self.welcomed.is_set():
                         await asyncio.sleep(0.005)
             except TimeoutError:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -382,3 +382,16 @@
     assert sends(d.ask(VIEW)[1]) == [first]
     d.policy.workers[other].good_ms = 0.0
     assert sends(d.ask(ORDER)[1]) == [first]
+
+
+def test_a_worker_that_is_put_back_is_not_held_to_what_was_before() -> None:
+    # Guards a runner that was left out for a moment: with little traffic nothing would try it out again.
+    d = Dispatcher(workers=1)
+    for _ in range(4):
+        number, actions = d.ask(ORDER)
+        if sends(actions):
+            d.end(number, "w0", api.Outcome.RESET)
+    assert d.policy.workers["w0"].strikes and not sends(d.ask(ORDER)[1])
+    d.listed(entry("w0", state=api.WorkerState.DRAINING), kind=api.ListKind.CHANGES)
+    d.listed(entry("w0"), kind=api.ListKind.CHANGES)
+    assert sends(d.ask(ORDER)[1]) == ["w0"] or d.policy.workers["w0"].jobs == 1
