--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -233,7 +233,11 @@
     def _serve(self) -> None:
         self.life.started(self.engine.clock.now_ms())
         self.apply()
-        log.info("ready", extra={"kv": {"servers": len(self.table.servers), "live": self.table.known}})
+        kv: dict[str, object] = {"servers": len(self.table.servers), "live": self.table.known}
+        if self.life.ready:
+            log.info("ready", extra={"kv": kv})
+        else:
+            log.info("not_ready", extra={"kv": kv | {"state": self.life.stage.value}})
 
     async def _begin_upgrade(self) -> None:
         from grebestack.program.upgrade import Upgrade  # only here: it is no part of other days
