Go over the upgrade's code: one way to pass a job on, no state that can be derived

Need: read again as a whole. _hand_jobs and let_go had the same filter and the same sending; both looked the channel up without asking whether an earlier send had ended it, which is asked now. Removed: the event beside pact.welcomed, the class's name in each session (the settings have it by its place), the control address in hello, which nobody read, and the second remember of the server table.

Also mended: a call at the door while a dispatcher stops started a second wait for the end (dispatcher.apply), so that the end could be set twice.

--- a/grebestack/handover/pact.py
+++ b/grebestack/handover/pact.py
@@ -137,11 +137,11 @@
 
     # Events: of this process.
 
-    def found(self, peer: int, control: str) -> list[Action]:
+    def found(self, peer: int) -> list[Action]:
         """At the start, a process holds the meeting point: we may become its heir."""
         self.elder = peer
         self.peers.add(peer)
-        return [Tell(peer, {"is": "hello", "version": VERSION, "control": control}), Share(2)]
+        return [Tell(peer, {"is": "hello", "version": VERSION}), Share(2)]
 
     def alone(self) -> list[Action]:
         """At the start, nobody holds it."""
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -92,7 +92,7 @@
         self.watch = self._source(config)
         self.jobs: JobService | None = None
         self.life = Life()
-        self.stopped = False
+        self.ending = self.stopped = False
         self.next_apply: asyncio.TimerHandle | None = None
         self.tally = Tally()
         self.done: asyncio.Future[None] = loop.create_future()
@@ -340,7 +340,8 @@
             self.next_apply = None
         if at_ms < float("inf"):
             self.next_apply = self.loop.call_later(max(0.001, (at_ms - now) / 1000.0), self.apply)
-        elif stopping:
+        elif stopping and not self.ending:  # a call at the door comes here too: the end is awaited once
+            self.ending = True
             self._end()
 
     def stop(self) -> None:
--- a/grebestack/program/upgrade.py
+++ b/grebestack/program/upgrade.py
@@ -6,7 +6,7 @@
 import logging
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -56,7 +56,6 @@
         self.replies: dict[int, Callable[[bool | None], None]] = {}
         self.tasks: set[asyncio.Task[None]] = set()  # the listener, connections being adopted
         self.again: asyncio.TimerHandle | None = None
-        self.welcomed = asyncio.Event()  # or alone: the start may go on
         self.own = OwnOperations(dispatcher)
         self.elsewhere = keepsake.Elsewhere(dispatcher.engine.policy)
         dispatcher.front.elsewhere = self.called_back
@@ -72,7 +71,7 @@
         """Find an elder and be welcomed, or be alone. What was banned holds before anything is sent."""
         self._read_bans()
         until = self.loop.time() + BUSY_S
-        while not self.welcomed.is_set():
+        while not self.pact.welcomed:
             sock = self.meeting.find()
             if sock is None or self.loop.time() >= until:
                 if sock is not None:
@@ -81,18 +80,17 @@
                 self._do(self.pact.alone())
                 return
             peer = self._join(sock)
-            control = self.dispatcher.config.control
-            self._do(self.pact.found(peer, ":".join(map(str, control or ()))))
+            self._do(self.pact.found(peer))
             try:
                 async with asyncio.timeout(WELCOME_S):
-                    while self.pact.elder is not None and not self.welcomed.is_set():
+                    while self.pact.elder is not None and not self.pact.welcomed:
                         await asyncio.sleep(0.005)
             except TimeoutError:
                 log.warning("elder_silent", extra={"kv": {"waited_s": WELCOME_S}})
                 return  # it may be slow: it is told when we are ready, and the bans are those of the file
             if self.pact.meeting:
                 return  # it is lost, and this process has its place
-            if not self.welcomed.is_set():
+            if not self.pact.welcomed:
                 await asyncio.sleep(AGAIN_S)
 
     def _read_bans(self) -> None:
@@ -239,7 +237,6 @@
         except (KeyError, ValueError, TypeError, AttributeError) as error:
             log.warning("welcome_refused", extra={"kv": {"why": repr(error)}})
         log.info("upgrade_welcomed", extra={"kv": {"servers": len(d.table.servers), "bans": len(bans)}})
-        self.welcomed.set()
 
     def _count(self, what: Message | None) -> None:
         if what is None:
@@ -269,10 +266,10 @@
         d.life.retire(True, d.clock.now_ms())
         d.apply()
         assert to is not None
-        out = [told(dispatch) for session in d.engine.sessions.values() for dispatch in session.out()]
+        out = [self._told(dispatch) for session in d.engine.sessions.values() for dispatch in session.out()]
         opened = list(d.engine.open_by_call_id)[-MOST_TOLD:]
         self._tell(to, {"is": "retired", "open": opened, "out": out[-MOST_TOLD:]})
-        d.engine.on_sent = lambda dispatch: self._tell(to, {"is": "sent", **told(dispatch)})
+        d.engine.on_sent = lambda dispatch: self._tell(to, {"is": "sent", **self._told(dispatch)})
         d.engine.on_ended = lambda dispatch: self._tell(to, {"is": "ended", "key": key_of(dispatch)})
         self._hand_all(to)
         self._hand_jobs(to)
@@ -280,6 +277,14 @@
             "open": len(d.engine.open_by_call_id), "kept": len(d.acceptor.connections),
         }})
 
+    def _told(self, dispatch: Dispatch) -> Message:
+        """A dispatch as the heir counts it."""
+        asked, classes = dispatch.session.asked, self.dispatcher.engine.settings.classes
+        return {
+            "key": key_of(dispatch), "worker": dispatch.server, "slots": asked.slots, "memory": asked.memory,
+            "sent_ms": dispatch.sent_ms, "class": classes[asked.job_class].name,
+        }
+
     def _hand_all(self, to: int) -> None:
         self.again = None
         if to in self.channels and self.dispatcher.life.retired:
@@ -298,39 +303,36 @@
         channel.send(message, [connection.part()])
         return True
 
+    def _jobs(self, to: int) -> Iterator[tuple[Session, PlatformAnswer]]:
+        """The open jobs whose clients' connections can go to the heir, as long as it is there."""
+        for session in self.dispatcher.engine.open_sessions():
+            if to not in self.channels or not self.dispatcher.life.retired:
+                return
+            if isinstance(session.frontend, PlatformAnswer) and session.frontend.connection.can_part():
+                yield session, session.frontend
+
+    def _pass_on(self, to: int, session: Session, answer: PlatformAnswer, message: Message) -> None:
+        answer.connection.session = None
+        message = {"deadline_ms": session.asked.deadline_ms, **message}
+        self.channels[to].send(message, [answer.connection.part()])
+
     def _hand_jobs(self, to: int) -> None:
         """Hand over the jobs that no runner has been sent, now and later; see `let_go` for the others."""
-        d = self.dispatcher
-        if to not in self.channels or not d.life.retired:
+        if to not in self.channels or not self.dispatcher.life.retired:
             return
         self.loop.call_later(JOBS_S, self._hand_jobs, to)
-        for session in list(d.engine.open_sessions()):
-            answer = session.frontend
-            if not isinstance(answer, PlatformAnswer) or not answer.connection.can_part():
-                continue
-            if d.engine.withdraw(session):
-                answer.connection.session = None
-                message = self._job_message("job", session) | request_message(answer.request)
-                self.channels[to].send(message, [answer.connection.part()])
+        for session, answer in self._jobs(to):
+            if self.dispatcher.engine.withdraw(session):
+                self._pass_on(to, session, answer, {"is": "job", **request_message(answer.request)})
 
     def let_go(self) -> None:
         """The kill is near: the heir waits for the ends of the jobs that are left."""
-        d, to = self.dispatcher, self.pact.heir
-        if to is None or to not in self.channels or not d.life.retired:
+        if (to := self.pact.heir) is None:
             return
-        for session in list(d.engine.open_sessions()):
-            answer = session.frontend
-            if not isinstance(answer, PlatformAnswer) or not answer.connection.can_part():
-                continue
-            if (dispatch := d.engine.let_go(session)) is not None:
-                answer.connection.session = None
-                message = self._job_message("orphan", session)
-                message |= {"server": d.runners.let_go(dispatch), "id": session.call_id}
-                self.channels[to].send(message, [answer.connection.part()])
-
-    @staticmethod
-    def _job_message(kind: str, session: Session) -> Message:
-        return {"is": kind, "deadline_ms": session.asked.deadline_ms}
+        for session, answer in self._jobs(to):
+            if (dispatch := self.dispatcher.engine.let_go(session)) is not None:
+                server = self.dispatcher.runners.let_go(dispatch)
+                self._pass_on(to, session, answer, {"is": "orphan", "server": server, "id": session.call_id})
 
     def _adopt_job(self, fd: int, message: Message) -> None:
         """A job of the elder's that no runner has been sent: as if its client had sent it here."""
@@ -453,15 +455,6 @@
     return f"{dispatch.session.number}.{dispatch.number}"
 
 
-def told(dispatch: Dispatch) -> Message:
-    """A dispatch as the heir counts it."""
-    asked = dispatch.session.asked
-    return {
-        "key": key_of(dispatch), "worker": dispatch.server, "slots": asked.slots, "memory": asked.memory,
-        "sent_ms": dispatch.sent_ms, "class": dispatch.session.job_class,
-    }
-
-
 def request_message(request: Request) -> Message:
     """A request as it goes over the channel."""
     return {
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -67,7 +67,7 @@
         asked = api.RequestArrived(
             self.last, job_class, deadline_ms, slots, memory, tenant, key, cost_ms, retry, aged
         )
-        session = Session(call_id, asked, payload, frontend, self.settings.classes[job_class].name)
+        session = Session(call_id, asked, payload, frontend)
         self.sessions[self.last] = self.open_by_call_id[call_id] = session
         session.timer = self.clock.call_at(deadline_ms, partial(self._overdue, session))
         self.counts["sessions"] += 1
--- a/grebestack/routing/session.py
+++ b/grebestack/routing/session.py
@@ -46,7 +46,6 @@
     asked: RequestArrived
     payload: Payload
     frontend: Frontend
-    job_class: str = ""  # its name
     dispatches: list[Dispatch] = field(default_factory=list)
     closed: bool = False
     terminating: bool = False  # the client wants it cancelled: it is not sent any more
--- a/grebestack/routing/table.py
+++ b/grebestack/routing/table.py
@@ -44,7 +44,7 @@
             self.listed, self.servers = {}, {}
         for server in servers:
             self.listed[server.entry.worker] = server
-            self._remember(server.entry.worker)
+        self.remember(server.entry.worker for server in servers)
         self.known = self.known or kind is not ListKind.CACHED
         self._tell(kind, servers)
 
@@ -67,13 +67,10 @@
     def remember(self, names: Iterable[str]) -> None:
         """Some list has named these, perhaps one of another process."""
         for name in names:
-            self._remember(name)
-
-    def _remember(self, name: str) -> None:
-        self.names.pop(name, None)
-        self.names[name] = None
-        if len(self.names) > MOST_NAMES + len(self.listed) + len(self.cordoned):
-            del self.names[next(n for n in self.names if n not in self.listed and n not in self.cordoned)]
+            self.names.pop(name, None)
+            self.names[name] = None
+            if len(self.names) > MOST_NAMES + len(self.listed) + len(self.cordoned):
+                del self.names[next(n for n in self.names if n not in self.listed and n not in self.cordoned)]
 
     def heard(self) -> None:
         """A list that comes straight here stands as long as nothing else is told: see membership."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -36,7 +36,7 @@
             self.do(self.pact.alone())
         else:
             play.channels |= {(number, play.holder): deque(), (play.holder, number): deque()}
-            self.do(self.pact.found(play.holder, ""))
+            self.do(self.pact.found(play.holder))
 
     def do(self, actions: list[pact.Action]) -> None:
         for action in actions:
