Read a job's hinted cost in microseconds and its caller as the tenant

At fault: protocol/platform.py:147 handed X-Call-Cost on as milliseconds though it is in microseconds, so that a job's slack was a thousand times too long and no held job counted as late; and X-Caller was never read, so that engine.open's default made every job the first tenant's, most of them over its share.

Ruled out: the module.

Change: the cost is divided by 1000 and one that can't be meant is left out; the caller is looked up among the settings' accounts, and one that they don't name has no share where there are any (core/policy.py, one line).

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -327,7 +327,7 @@
 
     def _arrived(self, event: api.RequestArrived) -> None:
         index, c = event.job_class, self.settings.classes[event.job_class]
-        within = True
+        within = not self.shares  # a caller that the settings don't name has no share
         if event.tenant < len(self.shares):  # this dispatcher's part of the tenant's allowance
             rate = self.settings.tenants[event.tenant].allowance_per_s / self.settings.siblings
             within = self.shares[event.tenant].take(self.now, rate)
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -19,6 +19,7 @@
 PLAIN = re.compile(rb"[!-~]{1,512}").fullmatch  # what may go on to a runner
 SECONDS = re.compile(rb"(?=[0-9.]*[1-9])[0-9]{1,9}(\.[0-9]{0,9})?|(?=\.0*[1-9])\.[0-9]{1,9}").fullmatch
 MOST_FIGURE = 1e6
+MOST_COST_US = 3.6e9  # an hour: what is meant to cost more is no estimate
 SPARE_PART = 6  # of so many clients' connections one stays free during a planned stop
 SPARE_MS = 100.0
 SLOTS = ("slots", "x1")
@@ -67,6 +68,7 @@
         self.classes = {c.name.encode(): (i, c.deadline_ms) for i, c in classes if i not in settings.retired}
         self.most_retry_after_ms = settings.max_retry_after_ms if settings.retry_after else None
         self.keyed = {i for i, c in enumerate(settings.classes) if c.effect is Effect.KEYED}
+        self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
 
     def end_by(self, until_ms: float) -> None:
         """From now on a job's answer is due by then at the latest."""
@@ -144,7 +146,7 @@
         head = b"POST %s HTTP/1.1\r\nX-Call-Id: %s\r\n" % (request.target, call_id)
         if key is not None:
             head += b"Idempotency-Key: %s\r\n" % key
-        cost = figures(b"cost=" + headers.get(b"x-call-cost", b"")).get("cost")
+        cost_us = figures(b"cost=" + headers.get(b"x-call-cost", b"")).get("cost", 0.0)
         session = self.engine.open(
             Answer(self, connection, request),
             call_id.decode("latin-1"),
@@ -154,7 +156,8 @@
             slots=slots,
             memory=memory,
             key=key_of(headers.get(b"x-route-hash")),
-            cost_ms=cost,
+            tenant=self.tenants.get(headers.get(b"x-caller", b""), len(self.tenants)),
+            cost_ms=cost_us / 1000.0 if 0.0 < cost_us <= MOST_COST_US else None,
             retry=headers.get(b"x-again") == b"1",
         )
         if session is None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -416,3 +416,14 @@
                 d.end(number, worker)
             d.wait(100)
         assert name in used
+
+
+def test_what_a_tenant_sends_beyond_its_share_goes_last_and_so_does_a_caller_without_one() -> None:
+    tenants = (api.Tenant("one", 0.5), api.Tenant("two", 100.0))
+    d = Dispatcher(settings(tenants=tenants, over_share_worth=0.2), workers=1)
+    d.ask(ORDER, tenant=1)
+    for tenant in (0, 0, 2, 1):
+        d.ask(VIEW, tenant=tenant)
+    held = d.policy.held
+    over = {level[1]: [r.asked.tenant for r in held.heads(level, 9)] for level in held.levels}
+    assert over == {False: [0, 1], True: [0, 2]}
