Give a free slot to the held job with which it earns most, by hints, keys and crossings

Within a level jobs went first come first served, so that slots went to whatever key came next; a server's pace was measured against the class's mean running time, so that a heavy job made it look slow.

At fault: core/policy.py _drain_held (the first three heads of each level), _offer, which knew only the first block's rule, and _send (expected_ms from the class alone).

Selection for all servers and for one freed server is one piece of code now, which also keeps a freed server to the blocks that hold it.

--- a/grebestack/core/interface.py
+++ b/grebestack/core/interface.py
@@ -116,6 +116,11 @@
         if self.threshold is not None and not 0 < self.threshold <= top:
             raise ValueError(f"a block's {self.invalidate} has the threshold {self.threshold!r} out of range")
 
+    def holds(self, worker: str, own_zone: bool) -> bool:
+        """Whether a worker, in the dispatcher's own zone or another, belongs to the block."""
+        named = self.workers == ("*",) or worker in self.workers
+        return named and (self.place == "any" or own_zone == (self.place == "own"))
+
 
 @dataclass(frozen=True, slots=True)
 class Tag:
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -1,14 +1,14 @@
 """All decisions of one dispatcher, by Allocation Priority Policies (APP; De Palma et al.).
 
-The types that go in and out (settings, script, events, actions) are in `interface.py`, the file beside
-this one. Nothing here does input or output, reads a clock or keeps state outside a `Policy`.
+What goes in and out is in `interface.py`. Nothing here does input or output, reads a clock or keeps state
+outside a `Policy`.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from grebestack.core import interface as api
 from grebestack.core import state
@@ -34,6 +34,9 @@
 ERROR_SHARE = 0.3  # of each error in its worker's share of them
 AHEAD = 0.5  # of its class's aim a job may wait at a worker: word of a free slot comes too late to fill it
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
+LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
+KEEP = 4  # keys of ours that a worker is taken to keep
+FETCH = 8.0  # running times for which the fetch of a key counts at a worker far from where it belongs
 SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
 
 
@@ -58,9 +61,8 @@
     """Rules 1 and 2, without regard to the worker; a tick's margin keeps clear of the limits."""
     now += settings.tick_ms
     most = min(request.most_attempts, settings.max_attempts)
-    if request.closed or len(request.attempts) >= most or now >= request.asked.deadline_ms:
-        return False
-    if not settings.second_copies and any(a.outcome is None for a in request.attempts):
+    copy = not settings.second_copies and any(a.outcome is None for a in request.attempts)
+    if request.closed or copy or len(request.attempts) >= most or now >= request.asked.deadline_ms:
         return False
     ran, effect = request.may_have_run(), request.job_class.effect
     if not ran or effect is Effect.SAFE:
@@ -103,7 +105,7 @@
             api.AttemptStarted: self._started, api.StreamStarted: self._started,
             api.AttemptEnded: self._ended, api.RequestDropped: self._dropped,
             api.TimerFired: lambda e: self.agenda.run(self.now, e.token),
-            api.ProbeEnded: self._probed, api.AttemptProgress: lambda _: None,
+            api.ProbeEnded: self._reported, api.AttemptProgress: lambda _: None,
         }
 
     def _settle(self, settings: api.Settings) -> None:
@@ -179,8 +181,7 @@
         # So many jobs may come in the rule's window; when m are meant, m + c * sqrt(m) come by chance.
         most = warmth * budget * s.fall_window_ms / (slots * run_ms)
         budget *= (math.sqrt(COLD_CHANCE**2 + 4.0 * most) - COLD_CHANCE) ** 2 / (4.0 * most)
-        # What the budget grows by while it warms counts too: among many dispatchers a turn drawn from the
-        # warmth of now would come after the worker has long been warm.
+        # What the budget grows by while it warms counts too, lest turns come after it has long been warm.
         turn = self.random.expovariate(1.0) * slots * run_ms * s.siblings / budget
         view.cold_next = self.now + 2.0 * turn / (warmth + math.sqrt(warmth * warmth + 2.0 * gain * turn))
 
@@ -207,10 +208,7 @@
         return c.worth / cost * (s.over_share_worth if over_share else 1.0) * (c.late_worth if late else 1.0)
 
     def _order(self, key: OrderKey) -> list[WorkerView]:
-        """A block's workers, each dispatcher's own best first: warm ones, then by distance on a ring.
-
-        Guards against all filling one head: heads lie evenly apart, and overflow meets a neighbour's last.
-        """
+        """A block's workers, best first; by a ring, so that not all dispatchers fill the same head."""
         order = self.orders.get(key)
         if order is None:
             block = self.blocks[key[0]]
@@ -227,14 +225,13 @@
     # Validity: one predicate for each invalidate rule; unreachable is always invalid.
 
     def _unreachable(self, view: WorkerView, request: Request) -> bool:
-        if view.warm_at > self.now and self.now < view.cold_next:
-            return True
-        if self.saved and self.saved[0] is view and self.saved[1].held and not request.level[3]:
-            return True
-        if self._ill(view, request.level[0]) and self.now < view.trial_at.get(request.level[0], 0.0):
+        cold = view.warm_at > self.now and self.now < view.cold_next
+        saved = self.saved and self.saved[0] is view and self.saved[1].held and not request.level[3]
+        ill = self._ill(view, request.level[0]) and self.now < view.trial_at.get(request.level[0], 0.0)
+        if cold or saved or ill:
             return True
-        # Guards against a hung head: what may still run frees no room; one job is the trial after the
-        # back-off, and one that could not be moved away again waits for longer.
+        # Guards against a hung head: one job is the trial after the back-off, and one that could not be moved
+        # away again waits for longer.
         wait = 0.0 if self._movable(request) else self.learned.run_ms[request.level[0]]
         trial = view.jobs == 0 and self.now >= view.full_until + wait
         return view.strikes > 0 and view.used >= view.ceiling and not trial
@@ -243,11 +240,7 @@
         return view.pace > times * self.typical_pace
 
     def _ill(self, view: WorkerView, index: int) -> bool:
-        """Whether a worker is far slower than its peers or fails a class that they don't fail.
-
-        Guards against a worker that fails fast, or whose jobs come too late: it has free slots all the time
-        and would draw most of the work. It gets single trials, further and further apart.
-        """
+        """Far slower than its peers, or failing a class they don't: always free, it would draw most work."""
         most = FAILING + 1.5 * self.typical_errors.get(index, 0.0)
         return self._slower(view, SLOW) or view.failing.get(index, 0.0) > most
 
@@ -260,7 +253,6 @@
     def _capacity_used(self, view: WorkerView, request: Request, share: float | None) -> bool:
         if not view.told_ms:
             return self._concurrency_reached(view, request, None)
-        # Fewer slots than it shows where it is sluggish: a neighbour has taken some of its cores.
         fewer = view.pace / (SLUGGISH * self.typical_pace) if view.jobs else 1.0
         ahead = 0.0 if share else AHEAD * request.job_class.aim_ms / self.learned.run_ms[request.level[0]]
         slots, asked = view.seen_free * ((share or 1.0) / max(1.0, fewer) + ahead), request.asked.slots
@@ -277,26 +269,30 @@
 
     # Selection: the blocks from the top, then the followup.
 
-    def _select(self, request: Request) -> WorkerView | None:
+    def _select(self, request: Request, only: WorkerView | None = None) -> WorkerView | None:
+        """The worker to send to; `only`: that one or none."""
         zone, cell = repeat_group(request)
         for number in self.paths[request.level[0]]:
             if self.blocks[number].place == "other" and not self._may_cross(request):
                 continue
             key = (number, request.job_class.kind, zone, cell)
             until, slots = self.barren.get(key, (0.0, 0.0))
-            if self.now < until and request.asked.slots >= slots:
+            if not only and self.now < until and request.asked.slots >= slots:
                 continue
-            if view := self._pick(key, request):
+            if view := self._pick(key, request, only):
                 return view
             # Guards the CPU: a fruitless walk is not repeated at once.
-            self.barren[key] = (self.now + SCAN_MS / 2, request.asked.slots)
+            if not only:
+                self.barren[key] = (self.now + SCAN_MS / 2, request.asked.slots)
         return None
 
-    def _pick(self, key: OrderKey, request: Request) -> WorkerView | None:
+    def _pick(self, key: OrderKey, request: Request, only: WorkerView | None) -> WorkerView | None:
         block, order = self.blocks[key[0]], self._order(key)
         rule = self.rules[block.invalidate]
         walk: Iterable[WorkerView] = order
-        if block.strategy == "platform":
+        if only:  # the default tag walks by keys and leaves a single worker to requests that have one
+            walk = [only] if only in order and (block.strategy != "platform" or request.asked.key) else []
+        elif block.strategy == "platform":
             # From hash(key, else class) on; salted, lest all dispatchers start at the same worker.
             what = request.job_class.name if request.asked.key is None else request.asked.key
             start = state.stable_hash(f"{self.settings.dispatcher} {what}")
@@ -316,7 +312,7 @@
 
     def _may_cross(self, request: Request) -> bool:
         """A crossing is priced: wait for one's own zone as long as that price weighs against the worth."""
-        share = self.settings.cross_zone_price * self.learned.worth / max(request.job_class.worth, 1e-9)
+        share = self.settings.cross_zone_price * self.learned.worth / max(self._value(request), 1e-9)
         return self.now - request.arrived_ms >= request.job_class.aim_ms * min(1.0, share)
 
     def _movable(self, request: Request) -> bool:
@@ -334,7 +330,7 @@
         level = (index, not within, False, event.aged)
         request = Request(event, c, self.now, level, self.settings.max_attempts)
         self.requests[event.request] = request
-        self.learned.arrival(index, event.slots, c.worth)
+        self.learned.arrival(index, event.slots, self._value(request))
         # Rule 1: answered a tick before the deadline whatever happens.
         self.agenda.add(event.deadline_ms - self.settings.tick_ms, self._give_up, request)
         if self.held.heads(request.level, 1):
@@ -363,7 +359,8 @@
     def _send(self, request: Request, view: WorkerView) -> None:
         for attempt in request.out():
             self._cancel(request, attempt)
-        index, run_ms = request.level[0], self.learned.run_ms[request.level[0]]
+        index = request.level[0]
+        run_ms = self.learned.expects(index, request.asked.cost_ms)
         attempt = Attempt(view, self.now, request.asked.slots, request.asked.memory, run_ms)
         if self._ill(view, index):
             view.trial_at[index] = self.now + self._jitter(TRIAL * run_ms, view.trials)
@@ -371,6 +368,8 @@
         request.attempts.append(attempt)
         request.held = False
         view.count(request.asked, 1)
+        if request.asked.key is not None:
+            view.keep(request.asked.key, KEEP)
         if view.warm_at > self.now:
             self._cold_wait(view, request.asked.slots, run_ms)
         view.out.append(attempt)
@@ -387,19 +386,12 @@
             self.actions.append(api.Cancel(request.asked.request, request.attempts.index(attempt)))
 
     def _give_up(self, request: Request) -> None:
-        number = request.asked.request
-        if refusable(request):
-            self._close(request, api.Refuse(number, self._retry_after(request)))
-        else:
-            self._close(request, api.Fail(number))
+        number, harmless = request.asked.request, refusable(request)
+        self._close(request, api.Refuse(number, self._retry_after(request)) if harmless else api.Fail(number))
 
     def _retry_after(self, request: Request) -> float | None:
-        """When a refused client should come back: once those held before it may have been served.
-
-        Jittered, lest all who were refused together come back together.
-        """
-        s = self.settings
-        if not s.retry_after or s.max_retry_after_ms <= 0:
+        """When a refused client should come back: once those held before it may have been served."""
+        if not (s := self.settings).retry_after or s.max_retry_after_ms <= 0:
             return None
         busy = sum(view.jobs for view in self.workers.values() if view.ready)
         rounds = 1.0 + self.held.count() / max(1, busy)
@@ -415,7 +407,7 @@
             self.requests.pop(request.asked.request, None)
 
     def _hold(self, request: Request) -> None:
-        """All blocks invalid: wait in the dispatcher, not in a random worker's queue (see docs/design.md)."""
+        """All blocks invalid: wait in the dispatcher, not in a random worker's queue."""
         if not request.held:
             self.held.add(request)
             if not (request.level[2] or request.level[3]):  # an aged one waits on until its deadline
@@ -435,6 +427,9 @@
             self._give_up(request)
 
     def _scan(self) -> None:
+        for view in [v for v in self.workers.values() if v.ready and v.kept]:
+            if view.used < view.ceiling or (view.unstarted == 0 and self.now >= view.full_until):
+                self._drain_held(view)
         self._drain_held()
         self.scanning = self.held.any()
         if self.scanning:
@@ -443,34 +438,39 @@
     def _drain_held(self, freed: WorkerView | None = None) -> None:
         """Try the first few held requests of each level, dearest level first, at one worker or at all."""
         for level in self.held.levels:
-            for request in self.held.heads(level, SCAN_HEADS):
+            heads = self.held.heads(level, SCAN_HEADS)
+            if any(r.asked.cost_ms or r.asked.key for r in heads):  # they differ in what a slot earns
+                heads = sorted(self.held.heads(level, LOOK), key=lambda r: -self._gain(r, freed))[:SCAN_HEADS]
+            for request in heads:
                 if sendable(request, self.now, self.settings):
-                    view = self._select(request) if freed is None else self._offer(request, freed)
-                    if view is not None:
+                    if view := self._select(request, freed):
                         self._send(request, view)
-                    elif freed is not None and level[3] and self._suits(request, freed):
+                    elif freed and level[3]:
                         self._save(request, freed)
 
-    def _suits(self, request: Request, freed: WorkerView) -> bool:
-        zone, cell = repeat_group(request)
-        fits = request.job_class.kind in (-1, freed.entry.kind) and zone in (None, freed.entry.zone)
-        near = cell in (None, freed.entry.cell) and (freed.own_zone or self._may_cross(request))
-        return fits and near and freed.ready and not request.out_at(freed)
-
-    def _offer(self, request: Request, freed: WorkerView) -> WorkerView | None:
-        fits = self._suits(request, freed) and not self._head_rule(request, freed)
-        return freed if fits and not self._unreachable(freed, request) else None
+    def _value(self, request: Request) -> float:
+        work = request.asked.cost_ms if self.settings.worth_by_work else None
+        return request.job_class.worth * (work or 1.0)
+
+    def _gain(self, request: Request, freed: WorkerView | None) -> float:
+        """What a slot earns in a millisecond; a key that its worker does not keep is fetched meanwhile."""
+        key, value = request.asked.key, self._value(request)
+        time = self.learned.expects(request.level[0], request.asked.cost_ms)
+        if freed and not freed.own_zone:
+            value -= self.settings.cross_zone_price * self.learned.worth
+        if key is not None and not (freed and key in freed.kept):
+            far = min(1.0, state.distance(key, freed.spot)) if freed else 0.5
+            time += FETCH * far * self.learned.run_ms[request.level[0]]
+        return value / (time * request.asked.slots)
 
     def _save(self, request: Request, freed: WorkerView) -> None:
         """Guards an aged job of several slots against a stream of small ones: a worker empties for it."""
-        if not (self.saved and self.saved[1].held) and 1.0 < request.asked.slots <= freed.seen_free:
+        bound, near = repeat_group(request), freed.own_zone or self._may_cross(request)
+        orders = (self._order((n, request.job_class.kind, *bound)) for n in self.paths[request.level[0]])
+        fits = 1.0 < request.asked.slots <= freed.seen_free and near and any(freed in o for o in orders)
+        if fits and not (self.saved and self.saved[1].held):
             self.saved = (freed, request)
 
-    def _head_rule(self, request: Request, view: WorkerView) -> bool:
-        """Whether the invalidate rule of the class's first block calls a worker full."""
-        block = self.blocks[self.paths[request.level[0]][0]]
-        return self.rules[block.invalidate](view, request, block.threshold)
-
     def _dropped(self, event: api.RequestDropped) -> None:
         if (request := self.requests.get(event.request)) and not request.closed:
             self._close(request)
@@ -531,7 +531,7 @@
                 view.breaks += 1
                 view.broke_ms = self.now if view.breaks == 1 else view.broke_ms
             self._strike(view, view.used, max(self.settings.connect_timeout_ms, run_ms / 2))
-        self._reported(view, event.report)
+        self._reported(event)
         if event.closed or request.closed:
             self._close(request)
         elif not request.out():
@@ -544,13 +544,12 @@
         """Learn the class's running time; raise the ceiling slowly while jobs end within the aim."""
         index = request.level[0]
         ran_ms = self.now - (attempt.started_ms or attempt.sent_ms)
-        self.learned.ran(index, ran_ms)
+        self.learned.ran(index, ran_ms, request.asked.cost_ms)
         ratio = ran_ms / attempt.expected_ms
         view.ran(min(PACE_MOST, ratio), PACE_SHARE)
         if ratio <= SLUGGISH * self.typical_pace:  # a trial went well: the next may follow at once
             view.trials, view.trial_at[index] = 0, self.now
-        # Guards against pushing over a worker that came back before the list says so. A break of a connection
-        # under one that works on must not make it count as cold.
+        # Guards against pushing over a worker that came back before the list says so.
         if view.breaks >= CRASH_BREAKS and attempt.sent_ms >= view.broke_ms:
             self._restarted(view, self.now)
         view.strikes, view.breaks, view.good_ms = 0, 0, self.now
@@ -559,11 +558,7 @@
             view.ceiling += 1.0
             view.raise_after = self.now + self._jitter(self.learned.run_ms[index])
 
-    def _probed(self, event: api.ProbeEnded) -> None:
+    def _reported(self, event: api.AttemptEnded | api.ProbeEnded) -> None:
         if view := self.workers.get(event.worker):
-            self._reported(view, event.report)
-
-    def _reported(self, view: WorkerView, report: Mapping[str, float]) -> None:
-        view.note_report(report, self.settings.report_fields, self.now, REPORT_LAG_MS, self.learned)
-        if "free_slots" in view.free:  # guards a cold worker's budget from counting a single slot for ever
-            self.learned.in_work(view.entry.kind, view.seen_free)
+            fields = self.settings.report_fields
+            view.note_report(event.report, fields, self.now, REPORT_LAG_MS, self.learned)
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from itertools import islice
-from math import gcd
+from math import gcd, log
 from random import Random
 
 from grebestack.core.interface import (
@@ -25,6 +25,7 @@
 KEEP_MS = 2000.0  # what the others have at one worker is forgotten within this, about three running times
 PROOF_MS = 1500.0  # a good end so long ago, about two running times, speaks for a worker
 MOST_LOAD = 16.0  # a weight of the list shows no more requests for each slot than so many
+MOST_RATIO = 8.0  # a job that ran so many times as long as hinted says little of the others
 REMEMBERED_MS = 1500.0  # a report may show an attempt that ended so long ago
 
 
@@ -40,6 +41,16 @@
     return (items[(start + i * step) % n] for i in range(n))
 
 
+def distance(key: int, spot: int) -> float:
+    """How far a key's jobs belong from a worker: 0 is home, 1 the mean. The same for all dispatchers.
+
+    By rendezvous hashing: where workers come or go, other keys keep their homes.
+    """
+    mixed = (key ^ spot) * 0x9E3779B97F4A7C15 & (1 << 64) - 1
+    mixed = (mixed ^ mixed >> 29) * 0xBF58476D1CE4E5B9 & (1 << 64) - 1
+    return -log(((mixed ^ mixed >> 32) + 0.5) / 2.0**64)
+
+
 class Learned:
     """Means and quantiles of what was seen, each following its samples by a small share."""
 
@@ -49,6 +60,7 @@
         self.tick_ms, self.chance = tick_ms, chance
         self.names: list[str] = []  # of the classes
         self.run_ms: list[float] = []  # running time by class; the aim is the first guess
+        self.per_cost: list[float] = []  # running time for each hinted millisecond of work, by class
         self.slots: list[float] = []  # slots by class
         self.worth = 1.0  # of a request
         self.kind_slots: dict[int, float] = {}  # most slots seen at once on one worker of a kind
@@ -62,6 +74,7 @@
             former = len(self.names) - 1 - self.names[::-1].index(c.name) if c.name in self.names else None
             self.names.append(c.name)
             self.run_ms.append(c.aim_ms if former is None else self.run_ms[former])
+            self.per_cost.append(1.0 if former is None else self.per_cost[former])
             self.slots.append(1.0 if former is None else self.slots[former])
 
     def arrival(self, index: int, slots: float, worth: float) -> None:
@@ -73,9 +86,15 @@
         """Slots of a job on the whole."""
         return sum(self.slots) / len(self.slots)
 
-    def ran(self, index: int, run_ms: float) -> None:
+    def expects(self, index: int, cost_ms: float | None) -> float:
+        """How long a job is taken to run, in milliseconds: by its hint, or as its class does."""
+        return self.per_cost[index] * cost_ms if cost_ms else self.run_ms[index]
+
+    def ran(self, index: int, run_ms: float, cost_ms: float | None) -> None:
         """A job ended well after running for so long."""
         self.run_ms[index] += self.SHARE * (run_ms - self.run_ms[index])
+        if cost_ms:
+            self.per_cost[index] += self.SHARE * (min(MOST_RATIO, run_ms / cost_ms) - self.per_cost[index])
 
     def share_out(self, views: Sequence[WorkerView], now: float) -> None:
         """Learn what the others have at a worker on the whole, from those that told their load lately."""
@@ -136,6 +155,7 @@
     others_memory: float = 0.0
     seen_memory: float = 0.0  # most free memory ever reported
     seen_free: float = 1.0  # most free slots ever reported
+    kept: dict[int, None] = field(default_factory=dict)  # what jobs of ours needed here, the latest last
     fresh: bool = False  # put back by the operators, and not sent anything since
 
     def __post_init__(self) -> None:
@@ -148,6 +168,13 @@
         self.used += sign * asked.slots
         self.memory += sign * asked.memory
 
+    def keep(self, key: int, most: int) -> None:
+        """A job that needs this goes here: what was not needed for longest makes room for it."""
+        self.kept.pop(key, None)
+        self.kept[key] = None
+        while len(self.kept) > most:
+            del self.kept[next(iter(self.kept))]
+
     def relist(self, entry: WorkerEntry) -> bool:
         """Take over the list's line; tells whether it changes who may be sent to."""
         was = (self.ready, self.entry.started_ms)
@@ -199,6 +226,8 @@
                 slots = max(slots, self.free.get("active", 0.0) * learned.job_slots())
             memory = self.seen_memory - self.free.get("free_memory", self.seen_memory)
             self._told(slots, memory, now, lag_ms, learned)
+            # Guards a cold worker's budget from counting a single slot for ever.
+            learned.in_work(self.entry.kind, self.seen_free)
         self.out = [a for a in self.out if a.ended_ms > now - REMEMBERED_MS]
 
     def note_weight(self, now: float, lag_ms: float, learned: Learned) -> None:
@@ -353,7 +382,7 @@
         if kind in (-1, view.entry.kind)
         and zone in (None, view.entry.zone)
         and cell in (None, view.entry.cell)
-        and (block.place == "any" or view.own_zone == (block.place == "own"))
+        and block.holds(view.entry.worker, view.own_zone)
     ]
 
 
