Rank all held jobs together by what a slot earns with each

The dearest class has few held jobs at a time, and each went to whatever server freed next, key or none, before a job of the other class whose key that server keeps was looked at.

At fault: core/policy.py _drain_held, which served level by level.

Change: where jobs bring hints or keys, the held jobs of all levels are ranked together by what a slot earns, with lateness and share in the worth; aged ones stay first. A scan asks for the best job of at most six servers with room, so that its cost does not grow with the fleet.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -36,7 +36,8 @@
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
 KEEP = 4  # keys of ours that a worker is taken to keep
-FETCH = 8.0  # running times for which the fetch of a key counts at a worker far from where it belongs
+FETCH = 16.0
+SCAN_MOST = 6  # workers for which a scan looks for the best job of each
 SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
 
 
@@ -202,10 +203,12 @@
         self.workers = {name: view for name, view in self.workers.items() if view.ready or view.jobs}
 
     def _density(self, level: Level) -> float:
-        index, over_share, late, _ = level
-        c, s = self.settings.classes[index], self.settings
-        cost = 1.0 if s.worth_by_work else self.learned.run_ms[index] * self.learned.slots[index]
-        return c.worth / cost * (s.over_share_worth if over_share else 1.0) * (c.late_worth if late else 1.0)
+        cost = self.learned.run_ms[level[0]] * self.learned.slots[level[0]]
+        return self._part(level) / (1.0 if self.settings.worth_by_work else cost)
+
+    def _part(self, level: Level) -> float:
+        worth = self.settings.classes[level[0]].worth * (self.settings.over_share_worth if level[1] else 1.0)
+        return worth * (self.settings.classes[level[0]].late_worth if level[2] else 1.0)
 
     def _order(self, key: OrderKey) -> list[WorkerView]:
         """A block's workers, best first; by a ring, so that not all dispatchers fill the same head."""
@@ -312,7 +315,8 @@
 
     def _may_cross(self, request: Request) -> bool:
         """A crossing is priced: wait for one's own zone as long as that price weighs against the worth."""
-        share = self.settings.cross_zone_price * self.learned.worth / max(self._value(request), 1e-9)
+        value = max(request.job_class.worth * request.work(self.settings), 1e-9)
+        share = self.settings.cross_zone_price * self.learned.worth / value
         return self.now - request.arrived_ms >= request.job_class.aim_ms * min(1.0, share)
 
     def _movable(self, request: Request) -> bool:
@@ -330,7 +334,7 @@
         level = (index, not within, False, event.aged)
         request = Request(event, c, self.now, level, self.settings.max_attempts)
         self.requests[event.request] = request
-        self.learned.arrival(index, event.slots, self._value(request))
+        self.learned.arrival(index, event.slots, c.worth * request.work(self.settings))
         # Rule 1: answered a tick before the deadline whatever happens.
         self.agenda.add(event.deadline_ms - self.settings.tick_ms, self._give_up, request)
         if self.held.heads(request.level, 1):
@@ -427,34 +431,30 @@
             self._give_up(request)
 
     def _scan(self) -> None:
-        for view in [v for v in self.workers.values() if v.ready and v.kept]:
-            if view.used < view.ceiling or (view.unstarted == 0 and self.now >= view.full_until):
-                self._drain_held(view)
+        room = [v for v in self.workers.values() if v.ready and v.kept and v.may_have_room(self.now)]
+        for view in self.random.sample(room, min(SCAN_MOST, len(room))):
+            self._drain_held(view)
         self._drain_held()
         self.scanning = self.held.any()
         if self.scanning:
             self.agenda.add(self.now + self._jitter(SCAN_MS), self._scan)
 
     def _drain_held(self, freed: WorkerView | None = None) -> None:
-        """Try the first few held requests of each level, dearest level first, at one worker or at all."""
-        for level in self.held.levels:
-            heads = self.held.heads(level, SCAN_HEADS)
-            if any(r.asked.cost_ms or r.asked.key for r in heads):  # they differ in what a slot earns
-                heads = sorted(self.held.heads(level, LOOK), key=lambda r: -self._gain(r, freed))[:SCAN_HEADS]
-            for request in heads:
-                if sendable(request, self.now, self.settings):
-                    if view := self._select(request, freed):
-                        self._send(request, view)
-                    elif freed and level[3]:
-                        self._save(request, freed)
-
-    def _value(self, request: Request) -> float:
-        work = request.asked.cost_ms if self.settings.worth_by_work else None
-        return request.job_class.worth * (work or 1.0)
+        """Try the first few held requests of each level, or those that earn most, at one worker or at all."""
+        heads = [r for level in self.held.levels for r in self.held.heads(level, SCAN_HEADS)]
+        if any(r.asked.cost_ms or r.asked.key for r in heads):  # they differ in more than their levels
+            heads = [r for level in self.held.levels for r in self.held.heads(level, LOOK)]
+            heads = sorted(heads, key=lambda r: (not r.level[3], -self._gain(r, freed)))[: 2 * SCAN_HEADS]
+        for request in heads:
+            if sendable(request, self.now, self.settings):
+                if view := self._select(request, freed):
+                    self._send(request, view)
+                elif freed and request.level[3]:
+                    self._save(request, freed)
 
     def _gain(self, request: Request, freed: WorkerView | None) -> float:
         """What a slot earns in a millisecond; a key that its worker does not keep is fetched meanwhile."""
-        key, value = request.asked.key, self._value(request)
+        key, value = request.asked.key, self._part(request.level) * request.work(self.settings)
         time = self.learned.expects(request.level[0], request.asked.cost_ms)
         if freed and not freed.own_zone:
             value -= self.settings.cross_zone_price * self.learned.worth
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -16,6 +16,7 @@
     JobClass,
     Outcome,
     RequestArrived,
+    Settings,
     Tag,
     WorkerEntry,
     WorkerState,
@@ -187,6 +188,10 @@
             self.failing, self.trial_at, self.ceiling = {}, {}, max(1.0, self.ceiling)
         return was != (self.ready, entry.started_ms)
 
+    def may_have_room(self, now: float) -> bool:
+        """Whether it is worth looking for a job: below its ceiling, or due for a trial."""
+        return self.used < self.ceiling or (self.unstarted == 0 and now >= self.full_until)
+
     def proven(self, now: float) -> bool:
         """Whether a job ended well here lately.
 
@@ -327,6 +332,10 @@
     closed: bool = False
     held: bool = False
 
+    def work(self, settings: Settings) -> float:
+        """What its class's worth is counted by: the hinted milliseconds of work, or 1 for each request."""
+        return (settings.worth_by_work and self.asked.cost_ms) or 1.0
+
     def out(self) -> list[Attempt]:
         """Attempts still waited for."""
         return [a for a in self.attempts if a.outcome is None and not a.cancelled]
--- a/tests/test_held_order.py
+++ b/tests/test_held_order.py
@@ -113,3 +113,29 @@
     for key in (1, 2, 3, 1, 4):
         view.keep(key, 3)
     assert list(view.kept) == [3, 1, 4]
+
+
+def test_a_cheaper_class_goes_first_where_the_worker_keeps_what_it_needs() -> None:
+    # An order is worth three times a view, but its key would be fetched, and drive out the one that is kept.
+    d, running = full()
+    d.ask(ORDER, key=11, cost_ms=100.0)
+    kept, _ = d.ask(VIEW, key=7, cost_ms=100.0)
+    assert first_of(d.end(running, "w0")) == kept
+
+
+def test_an_aged_job_goes_before_those_that_earn_more() -> None:
+    d, running = full()
+    d.ask(ORDER, key=7, cost_ms=100.0)
+    aged, _ = d.ask(VIEW, key=8, cost_ms=100.0, aged=True)
+    assert first_of(d.end(running, "w0")) == aged
+
+
+def test_a_scan_looks_at_few_workers_however_many_have_room() -> None:
+    # Guards the CPU of a dispatcher in a large fleet with many held jobs.
+    d, looked = Dispatcher(settings(second_copies=False), workers=40), list[object]()
+    for view in d.policy.workers.values():
+        view.keep(7, 4)
+    look = d.policy._drain_held
+    d.policy._drain_held = lambda freed=None: looked.append(freed) or look(freed)  # type: ignore[method-assign, func-returns-value]
+    d.policy._scan()
+    assert len([view for view in looked if view]) == 6 and looked[-1] is None
