Refuse two callers or two hinted costs in one request

Need: transport/server.py ONCE names the headers of which two leave open which one counts; X-Caller and X-Call-Cost decide tenant, worth and expected time since they are read, and were not among them: the last of two counted.

Change: both are named there; such a request is answered 400 and nothing of it is handed on.

--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -22,7 +22,8 @@
 LINGER_S = 2.0  # a client that does not read the last answer is cut off after this
 SWEEP_S = 0.25
 ONCE = frozenset(  # two of these leave open which one counts
-    b"content-length transfer-encoding x-call-id x-call-class x-budget x-call-info idempotency-key".split()
+    b"content-length transfer-encoding x-call-id x-call-class x-budget x-call-info x-call-cost x-caller "
+    b"idempotency-key".split()
 )
 REASONS = {
     200: b"OK", 202: b"Accepted", 204: b"No Content", 400: b"Bad Request", 404: b"Not Found",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -64,6 +64,15 @@
     assert taken(TENANTS, X_Caller="gas")["tenant"] == taken(TENANTS)["tenant"] == 2
 
 
+def test_two_callers_or_two_costs_are_refused_for_they_leave_open_which_one_counts() -> None:
+    for name, one, other in (("X-Caller", "electric", "water"), ("X-Call-Cost", "1", "2000")):
+        engine = Taker()
+        front = PlatformFront(cast(Engine, engine), settings_of(TENANTS), lambda body: Said.TAKEN)
+        wire = Wire(server.Acceptor(front, most=64)())
+        ask(wire, "a", **{name: f"{one}\r\n{name}: {other}"})
+        assert b"400" in wire.written and not engine.taken
+
+
 def test_a_route_hash_gives_the_same_key_everywhere_and_a_retry_is_known() -> None:
     first, again = taken(OPTIONS, X_Route_Hash="7f3a", X_Again="1"), taken(TENANTS, X_Route_Hash="7f3a")
     assert first["key"] == again["key"] is not None
