Add registers kept by a majority and leases on them, with all their states explored

Need: tasks of the whole fleet of which two holders must never act at once, with peers dropping, links stalling and disks lying.

Change: grebestack/fleet, pure: single-register consensus in two phases, leases whose holder counts from before it asked and whose rival counts from after it saw the very value, tokens that only grow, a fence. Values of two askings are never alike, and a term is counted only from an asking that made the value in force: a lost asking that comes into force late would otherwise let a rival count from before the holder (found while the states were thought through; both have a test).

--- /dev/null
+++ b/tests/fleet_model.py
@@ -0,0 +1,299 @@
+"""Every state that registers and leases can reach, within a bound: three disks, and two that want a task.
+
+    python -m tests.fleet_model [--states N] [--variant NAME] [--start NAME] [--end TIME] [--rounds N N]
+
+The code that is explored is `grebestack.fleet` itself. Messages are never taken off the wire: each may come
+late, more than once, in any order or not at all. Members may stop and start anew, give an asking up at any
+time, and look at what lies on any disk. After each step at most one of them may act, and no token is held by
+two.
+
+Left out, since it only hinders: a promise whose asker does not hear of it (it makes others' askings fail, as
+giving them up does), and a refusal (who gives up may or may not have heard of a higher ballot). Steps that
+can't lead to another asking are left out too: who has none left neither looks, gives up nor starts anew.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any, NamedTuple
+
+from grebestack.fleet.lease import NEVER, Lease, Tenure, Terms, lease_of
+from grebestack.fleet.register import (
+    NONE,
+    Accepted,
+    Answer,
+    Ballot,
+    Phase,
+    Refused,
+    Round,
+    Slot,
+    accept,
+    prepare,
+)
+
+DISKS = 3
+TERMS = Terms(term_ms=2.0, drift=0.0, guard_ms=0.0, renew_at=0.5, stagger_ms=0.0)
+STARTS = ("fresh", "held", "released")
+VARIANTS = ("no sync", "counted from the answer", "votes without its disk", "token from memory", "same marks")
+Request = tuple[Ballot, bool, Any]  # its ballot, whether it asks to accept, and what
+
+
+class Asker(NamedTuple):
+    """One that wants the task, and its asking."""
+
+    tenure: Tenure
+    before: Tenure  # as it was when it asked: what it asks for follows from it
+    last: Ballot
+    round: Round | None = None
+    rounds: int = 0
+    late: frozenset[tuple[int, Answer]] = frozenset()  # answers on their way that would end its phase
+
+
+class World(NamedTuple):
+    """One state."""
+
+    now: int
+    disks: tuple[Slot, ...]
+    unsynced: tuple[Slot, ...]  # what the members believe; another than the disk only where nothing is synced
+    askers: tuple[Asker, ...]
+    sent: frozenset[Request] = frozenset()
+    acted: frozenset[tuple[int, str, int]] = frozenset()  # tokens that could be acted under, and by whom
+    crashes: int = 0
+
+
+class Model:
+    """The steps from each state, and what must hold in it."""
+
+    def __init__(
+        self, variant: str = "", start: str = "fresh", end: int = 3, rounds: tuple[int, int] = (1, 1),
+        crashes: int = 0,
+    ) -> None:
+        self.variant, self.begins, self.end, self.rounds, self.crashes = variant, start, end, rounds, crashes
+
+    def start(self) -> World:
+        """Both have read that nobody has it. Since then a, or one that gave it back, took it by two disks."""
+        a, b = (Tenure(name, 1, TERMS, known=True) for name in ("a", "b"))
+        slot, acted = Slot(), frozenset[tuple[int, str, int]]()
+        if self.begins == "held":
+            lease = Lease("a", 1, 1, 0 if self.variant == "same marks" else 1)
+            a = replace(a, seen=lease, asked=1, until_ms=TERMS.usable_ms)
+            slot, acted = Slot(Ballot(1, "a", 1), Ballot(1, "a", 1), lease), frozenset({(1, "a", 1)})
+        elif self.begins == "released":
+            lease = Lease("", 0, 1, 2)
+            slot, acted = Slot(Ballot(1, "", 1), Ballot(1, "", 1), lease), frozenset({(1, "", 1)})
+        number = int(self.begins == "held")
+        askers = (Asker(a, a, Ballot(number, "a", 1)), Asker(b, b, Ballot(0, "b", 1)))
+        believed = (slot, slot, Slot())
+        disks = (Slot(),) * DISKS if self.variant == "no sync" else believed
+        return World(0, disks, believed, askers, acted=acted)
+
+    def clock(self, world: World) -> float:
+        """What the askers' clocks show."""
+        return float(world.now)
+
+    def wrong(self, world: World) -> str:
+        """Which rule a state breaks, if any."""
+        acting = [a.tenure for a in world.askers if a.tenure.token(self.clock(world)) is not None]
+        if len(acting) > 1:
+            return "two holders may act"
+        if len({token for token, *_ in world.acted}) < len(world.acted):
+            return "a token was held by two"
+        return ""
+
+    def steps(self, world: World) -> Iterator[tuple[str, World]]:
+        """What may happen next, each with the state after it."""
+        if world.now < self.end:
+            yield "a moment passes", self._noted(world._replace(now=world.now + 1))
+        for i, asker in enumerate(world.askers):
+            yield from self._asker(world, i, asker)
+        for disk in range(DISKS):
+            for request in world.sent:
+                yield from self._ask_disk(world, disk, request)
+            if world.crashes < self.crashes and self.variant in ("no sync", "votes without its disk"):
+                lost = world.disks[disk] if self.variant == "no sync" else Slot()
+                yield f"member {disk} starts anew", world._replace(
+                    unsynced=_put(world.unsynced, disk, lost), crashes=world.crashes + 1
+                )
+
+    def _asker(self, world: World, i: int, asker: Asker) -> Iterator[tuple[str, World]]:
+        now, name = self.clock(world), asker.tenure.me
+        tenure, change = asker.tenure.ask(now)
+        left = asker.rounds < self.rounds[i]
+        if change is not None and left:
+            ballot = asker.last.above(NONE)
+            after = asker._replace(
+                tenure=tenure, before=asker.tenure, last=ballot, rounds=asker.rounds + 1,
+                round=Round(ballot, DISKS // 2 + 1), late=frozenset(),
+            )
+            yield f"{name} asks", world._replace(
+                askers=_put(world.askers, i, after), sent=world.sent | {(ballot, False, None)}
+            )
+        if asker.round is not None:
+            given_up = asker._replace(tenure=asker.tenure.failed(now), round=None, late=frozenset())
+            highest = max(ballot.number for ballot, *_ in world.sent)
+            for number in {asker.last.number, highest} if left else ():
+                after = given_up._replace(last=asker.last._replace(number=number))
+                yield f"{name} gives its asking up", world._replace(askers=_put(world.askers, i, after))
+            for disk, answer in asker.late:
+                what = f"{name} hears late from member {disk}"
+                yield what, self._answered(world, i, disk, answer)
+        if world.crashes < self.crashes and left:
+            tenure = Tenure(name, asker.tenure.life + 1, TERMS)
+            anew = Asker(tenure, tenure, Ballot(asker.last.number, name, tenure.life), rounds=asker.rounds)
+            yield f"{name} starts anew", world._replace(
+                askers=_put(world.askers, i, anew), crashes=world.crashes + 1
+            )
+        for value in {slot.value for slot in world.disks} if left else ():
+            looked = asker._replace(tenure=asker.tenure.saw(now, value))
+            if looked != asker:
+                yield f"{name} sees {value}", world._replace(askers=_put(world.askers, i, looked))
+
+    def _ask_disk(self, world: World, disk: int, request: Request) -> Iterator[tuple[str, World]]:
+        """A request reaches a disk; its answer is lost, is heard at once, or, where it matters, later.
+
+        One that does not end its phase changes nothing but a count: to hear it later is to hear it at once.
+        """
+        ballot, accepts, value = request
+        slot = world.unsynced[disk]
+        slot, answer = accept(slot, ballot, value) if accepts else prepare(slot, ballot)
+        unsynced = _put(world.unsynced, disk, slot)
+        disks = world.disks if self.variant == "no sync" else unsynced
+        after = world._replace(unsynced=unsynced, disks=disks)
+        verb = "accept" if accepts else "promise"
+        what = f"member {disk} is asked to {verb} {ballot.number}{ballot.member}"
+        if after != world and accepts and isinstance(answer, Accepted):
+            yield f"{what}, its answer is lost", after
+        for i, asker in enumerate(world.askers):
+            if asker.round is not None and asker.round.ballot == ballot and not isinstance(answer, Refused):
+                heard = self._answered(after, i, disk, answer)
+                if heard != after:
+                    yield what, heard
+                round_ = heard.askers[i].round
+                if round_ is None or round_.phase is not asker.round.phase:
+                    late = asker._replace(late=asker.late | {(disk, answer)})
+                    yield f"{what}, its answer is late", after._replace(askers=_put(after.askers, i, late))
+
+    def _answered(self, world: World, i: int, disk: int, answer: Answer) -> World:
+        asker, now = world.askers[i], self.clock(world)
+        assert asker.round is not None and asker.tenure.asked_ms is not None
+        change = asker.before.ask(asker.tenure.asked_ms)[1]
+        assert change is not None
+        round_ = asker.round.answered(disk, answer, change)
+        if round_ == asker.round:
+            return world
+        if self.variant == "token from memory" and round_.value != round_.before:
+            mine = lease_of(round_.value)
+            if mine.holder == asker.tenure.me and not asker.before.held:
+                round_ = replace(round_, value=replace(mine, token=asker.before.seen.token + 1))
+        if self.variant == "same marks" and isinstance(round_.value, Lease):
+            round_ = replace(round_, value=replace(round_.value, mark=0))
+        after, sent = asker._replace(round=round_), world.sent
+        if round_.phase is Phase.ACCEPTING and asker.round.phase is Phase.PREPARING:
+            sent = sent | {(round_.ballot, True, round_.value)}
+            after = after._replace(late=frozenset())
+        elif round_.phase is Phase.CHOSEN:
+            tenure = asker.tenure.chosen(now, round_.before, round_.value)
+            if self.variant == "counted from the answer" and tenure.until_ms > NEVER:
+                tenure = replace(tenure, until_ms=now + TERMS.usable_ms)
+            after = after._replace(tenure=tenure, round=None, late=frozenset())
+        return self._noted(world._replace(askers=_put(world.askers, i, after), sent=sent))
+
+    def _noted(self, world: World) -> World:
+        now = self.clock(world)
+        acted = {
+            (token, a.tenure.me, a.tenure.life)
+            for a in world.askers
+            if (token := a.tenure.token(now)) is not None
+        }
+        return world._replace(acted=world.acted | acted)
+
+
+def _put(items: tuple[Any, ...], place: int, item: Any) -> tuple[Any, ...]:
+    return (*items[:place], item, *items[place + 1 :])
+
+
+def one_of_alike(world: World) -> World:
+    """Members' disks are alike: of states that differ by their order alone one stands for all."""
+    heard = [a.round.heard if a.round is not None else frozenset() for a in world.askers]
+
+    def look(disk: int) -> int:
+        late = (frozenset(answer for at, answer in a.late if at == disk) for a in world.askers)
+        return hash((world.disks[disk], world.unsynced[disk], *(disk in h for h in heard), *late))
+
+    looks = [look(disk) for disk in range(DISKS)]
+    order = sorted(range(DISKS), key=lambda disk: looks[disk])
+    if order == list(range(DISKS)):
+        return world
+    place = {disk: order.index(disk) for disk in range(DISKS)}
+    askers = tuple(
+        a._replace(
+            late=frozenset((place[disk], answer) for disk, answer in a.late),
+            round=a.round and replace(a.round, heard=frozenset(place[int(str(d))] for d in h)),
+        )
+        for a, h in zip(world.askers, heard, strict=True)
+    )
+    disks = tuple(world.disks[disk] for disk in order)
+    return world._replace(disks=disks, unsynced=tuple(world.unsynced[d] for d in order), askers=askers)
+
+
+@dataclass(slots=True)
+class Found:
+    """What an exploration came to."""
+
+    states: int
+    whole: bool  # whether every state within the bound was seen
+    wrong: str = ""
+    trace: tuple[str, ...] = ()
+
+
+def explore(model: Model, most: int) -> Found:
+    """See every state, the nearest first, up to so many; a wrong one ends it with the shortest way there."""
+    first = one_of_alike(model.start())
+    came: dict[World, tuple[World, str] | None] = {first: None}
+    queue = deque([first])
+    while queue:
+        world = queue.popleft()
+        for what, after in model.steps(world):
+            after = one_of_alike(after)
+            if after in came:
+                continue
+            came[after] = (world, what)
+            if wrong := model.wrong(after):
+                return Found(len(came), False, wrong, _trace(came, after))
+            if len(came) >= most:
+                return Found(len(came), False)
+            queue.append(after)
+    return Found(len(came), True)
+
+
+def _trace(came: dict[World, tuple[World, str] | None], world: World) -> tuple[str, ...]:
+    trace = []
+    while (step := came[world]) is not None:
+        world, what = step
+        trace.append(what)
+    return tuple(reversed(trace))
+
+
+def main() -> int:
+    """Explore by command, as far as is wanted."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--states", type=int, default=1_000_000)
+    parser.add_argument("--variant", default="", choices=("", *VARIANTS))
+    parser.add_argument("--start", default="fresh", choices=STARTS)
+    parser.add_argument("--end", type=int, default=3)
+    parser.add_argument("--rounds", type=int, nargs=2, default=(1, 1))
+    parser.add_argument("--crashes", type=int, default=0)
+    args = parser.parse_args()
+    model = Model(args.variant, args.start, args.end, tuple(args.rounds), args.crashes)
+    found = explore(model, args.states)
+    print("\n".join(found.trace))
+    print(f"states={found.states} whole={found.whole} wrong={found.wrong!r}")
+    return 1 if found.wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,6 +19,7 @@
     "jobs": {"core", "routing", "waiting", "jobs"},
     "drmaa": {"core", "routing", "transport", "waiting", "jobs", "drmaa"},
     "control": {"control"},
+    "fleet": {"fleet"},
     "handover": {"handover"},
     "program": {
         "core", "routing", "transport", "protocol", "membership", "consul", "waiting", "jobs", "drmaa",
