--- a/grebestack/__main__.py
+++ b/grebestack/__main__.py
@@ -1,6 +1,7 @@
 """`python -m grebestack`: one dispatcher. `python -m grebestack console`: the operator's console.
 
-`python -m grebestack say`: one call at the door of a running dispatcher.
+`python -m grebestack say`: one call at the door of a running dispatcher. `python -m grebestack form`: found
+a fleet of dispatchers.
 """
 
 from __future__ import annotations
@@ -23,6 +24,10 @@
         from grebestack.program import say
 
         return say.main(sys.argv[2:])
+    if sys.argv[1:2] == ["form"]:
+        from grebestack.program import form
+
+        return form.main(sys.argv[2:])
     parser = argparse.ArgumentParser(prog="grebestack", description="A dispatcher of jobs to job runners.")
     parser.add_argument("--config", metavar="FILE", help="an operator's file; else RELAY_CONFIG is read")
     parser.add_argument("--log-level", default="info", choices=("debug", "info", "warning", "error"))
--- a/grebestack/control/calls.py
+++ b/grebestack/control/calls.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 MOST_LINE = 256  # bytes of a line, its end not counted
-ALLOWED = "health, cordon ID, uncordon ID, quiesce, resume"
+ALLOWED = "health, cordon ID, uncordon ID, quiesce, resume, fleet, leases"
 
 
 class Verb(Enum):
@@ -17,6 +17,8 @@
     UNCORDON = "uncordon"
     QUIESCE = "quiesce"
     RESUME = "resume"
+    FLEET = "fleet"
+    LEASES = "leases"
 
     @property
     def named(self) -> bool:
--- a/grebestack/fleet/lease.py
+++ b/grebestack/fleet/lease.py
@@ -19,13 +19,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+import msgspec
+
 from grebestack.fleet.register import Change, Value
 
 NEVER = float("-inf")
 
 
-@dataclass(frozen=True, slots=True)
-class Lease:
+class Lease(msgspec.Struct, frozen=True, array_like=True, tag="lease"):
     """What the register of a task holds.
 
     No two askings make the same value (`mark`): an asking that was thought lost may come into force later,
@@ -49,7 +50,7 @@
     drift: float = 0.01
     guard_ms: float = 50.0
     renew_at: float = 0.35  # of the term: the next renewal is asked for
-    stagger_ms: float = 150.0  # a rival further back in the line waits so much longer for each place
+    stagger_ms: float = 100.0  # a rival further back in the line waits so much longer for each place
 
     def __post_init__(self) -> None:
         fits = self.term_ms > 0 and 0 <= self.drift < 0.5 and 0 < self.renew_at < 1
@@ -84,7 +85,7 @@
 
     def change(value: Value) -> Value:
         now = lease_of(value)
-        return value if now.holder and now != seen else replace(mine, token=now.token + 1)
+        return value if now.holder and now != seen else msgspec.structs.replace(mine, token=now.token + 1)
 
     return change
 
--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -96,6 +96,29 @@
     jobs: JobsConfig = field(default_factory=JobsConfig)
 
 
+@dataclass(frozen=True, slots=True)
+class TalliesConfig:
+    """The fleet's tallies: one member gathers and exports them, by POST to a collector."""
+
+    collector: Address
+    path: str
+    every_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """The dispatchers that this one agrees with; see docs/fleet-leases.md."""
+
+    name: str
+    listen: Address
+    members: Mapping[str, Address]  # the others: where each is called
+    folder: str
+    term_s: float = 4.0
+    drift: float = 0.01
+    guard_ms: float = 50.0
+    tallies: TalliesConfig | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What one dispatcher is told at its start."""
@@ -114,6 +137,7 @@
     listen_fd: int | None = None  # the clients' listening socket, if the platform holds it
     control: Address | None = None  # where operators call; None: nowhere
     keys: frozenset[str] = frozenset()  # the paths of all keys that the file has
+    fleet: FleetConfig | None = None  # None: this dispatcher is alone
     membership: MembershipConfig | None = None  # None: discovery feeds the server table itself
 
 
@@ -256,6 +280,32 @@
     )
 
 
+def _fleet(raw: Mapping[str, Any], own: str, folder: str) -> FleetConfig:
+    members = _table(raw, "members", " ".join(raw.get("members") or ()), within="fleet")
+    if own not in members:
+        raise ValueError(f"[fleet.members] must name this dispatcher, {own!r}; it has {', '.join(members)}")
+    try:
+        addresses = {name: address_of(str(where)) for name, where in members.items()}
+        listen = address_of(str(raw["listen"])) if "listen" in raw else addresses[own]
+    except ValueError as error:
+        raise ValueError(f"[fleet] addresses must be HOST:PORT: {error}") from error
+    if len(set(addresses.values())) < len(addresses):
+        raise ValueError("[fleet.members] must have an address of its own for each")
+    term_s = _number(raw, "term_s", 4.0, 0.5, 3600.0)
+    tallies = _table(raw, "tallies", "collector path every_s", within="fleet")
+    path = _word(tallies, "path", "/")
+    if not path.startswith("/") or not path.isascii() or not path.isprintable() or " " in path:
+        raise ValueError(f"[fleet.tallies] path must begin with / and have no spaces, not {path!r}")
+    return FleetConfig(
+        _word(raw, "name", "fleet"), listen, {n: a for n, a in addresses.items() if n != own},
+        os.path.join(folder, _word(raw, "folder", "fleet")), term_s, _number(raw, "drift", 0.01, 0.0, 0.2),
+        _number(raw, "guard_ms", 50.0, 0.0, term_s * 300.0),
+        TalliesConfig(
+            address_of(str(tallies["collector"])), path, _number(tallies, "every_s", 5.0, 0.05, 86_400.0)
+        ) if tallies else None,
+    )
+
+
 def _drmaa(raw: Mapping[str, Any], folder: str, jobs: JobsConfig) -> DrmaaConfig:
     keep = raw.get("keep_days", 30.0)
     if isinstance(keep, bool) or not isinstance(keep, int | float) or not keep > 0:
@@ -328,7 +378,7 @@
     try:
         known = {
             "name", "listen", "control", "platform", "sockets", "servers", "membership", "drmaa", "jobs",
-            "settings",
+            "settings", "fleet",
         }
         if unknown := sorted(set(raw) - known):
             raise ValueError(f"unknown key {unknown[0]!r}")
@@ -344,10 +394,12 @@
         jobs = _table(raw, "jobs", "wanted_s most_waiting most_conditions ahead ripe classes")
         names = " ".join(field.name for field in fields(MembershipConfig))
         membership = _membership(_table(raw, "membership", names))
+        fleet = _table(raw, "fleet", "name listen folder members term_s drift guard_ms tallies")
+        name = str(raw.get("name", "grebestack"))
         options = raw["settings"]
         settings = settings_of(options)
         return Config(
-            name=str(raw.get("name", "grebestack")),
+            name=name,
             listen=address_of(raw["listen"]),
             discovery=address_of(servers["address"]) if source == "discovery" else ("", 0),
             options=options,
@@ -360,6 +412,7 @@
             platform=bool(raw.get("platform", False)),
             control=_control(raw.get("control")),
             membership=membership,
+            fleet=_fleet(fleet, name, os.path.dirname(path)) if fleet else None,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: lacks {error}") from error
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from grebestack.consul.source import ConsulSource
     from grebestack.jobs.service import JobService
+    from grebestack.program.fleet import Fleet
     from grebestack.program.upgrade import Upgrade
     from grebestack.protocol.roster import Roster
 
@@ -91,6 +92,7 @@
             self.roster = appliance.roster(config.membership, self.engine)
         self.watch = self._source(config)
         self.jobs: JobService | None = None
+        self.fleet: Fleet | None = None
         self.life = Life()
         self.ending = self.stopped = False
         self.next_apply: asyncio.TimerHandle | None = None
@@ -198,6 +200,11 @@
             await self.listen()
         if self.config.control is not None:
             await self._open_door(self.config.control)
+        if self.config.fleet is not None:
+            from grebestack.program import fleet  # only here: the platform's dispatchers share nothing
+
+            self.fleet = fleet.Fleet(self, self.config.fleet)
+            await self.fleet.start()
         self._when_listed(time.monotonic() + LIST_WAIT_S)
         self._stats()
         self._tally()
@@ -207,6 +214,8 @@
         await self.done
         self.stopped = True
         self.stop_listening()
+        if self.fleet is not None:
+            self.fleet.stop()
         if self.watch is not None:
             self.watch.stop()
         if self.jobs is not None:
@@ -288,7 +297,7 @@
         except ConfigError as error:
             log.error("reload_failed", extra={"kv": {"error": error}})
             return
-        fixed = ["name", "listen", "control", "sockets", "drmaa", "platform", "membership"]
+        fixed = ["name", "listen", "control", "sockets", "drmaa", "platform", "membership", "fleet"]
         if self.config.drmaa is not None:
             fixed.append("options")  # the store's records name classes by their place
         waits = [name for name in fixed if getattr(config, name) != getattr(self.config, name)]
@@ -353,6 +362,8 @@
             self.jobs.stop()
         if self.upgrade is not None:
             self.upgrade.stop()
+        if self.fleet is not None:
+            self.fleet.leave()
         log.info("stopping", extra={"kv": {"open": len(self.engine.open_by_call_id)}})
         due_ms = self.life.due_ms(max(c.deadline_ms for c in self.config.settings.classes))
         self.loop.call_later(LATE_MS / 1000.0, self.front.end_by, due_ms)
--- /dev/null
+++ b/grebestack/program/fleet.py
@@ -0,0 +1,228 @@
+"""The dispatcher as a member of a fleet: the node, the tasks that hang on leases, what operators ask."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from grebestack.fleet.lease import Terms
+from grebestack.fleet.messages import Began, Born, Record, Roll, encode
+from grebestack.fleet.tallies import Ask, Counts, Export, Tallies, word
+from grebestack.mesh import store
+from grebestack.mesh.node import Node, NodeSettings, monotonic_ms
+from grebestack.mesh.store import Files, FolderTakenError
+from grebestack.program.config import Config, ConfigError, FleetConfig, StartError, TalliesConfig
+from grebestack.routing.interfaces import Clock
+from grebestack.transport.client import Pools, Response
+
+if TYPE_CHECKING:
+    from grebestack.program.dispatcher import Dispatcher
+
+log = logging.getLogger(__name__)
+FOUNDING = "founding"  # the incarnation of those that founded a fleet
+LOOK_MS = 50.0  # a task's shell looks so often whether it holds the lease
+EXPORT_S = 2.0  # an export that the collector has not answered by then is given up
+# Seams for tests, which no operator's file can reach: the files of the store, the clock, the exports' tasks.
+FILES: Callable[[], Files] = Files
+CLOCK: Callable[[], float] = monotonic_ms
+EXPORTS: tuple[str, ...] = ("tallies",)
+
+
+class Post:
+    """One export on its way. It goes out only under the token that it was gathered under."""
+
+    careful = False
+
+    def __init__(self, owner: Exporter, export: Export) -> None:
+        self.owner, self.export = owner, export
+        self.over = False
+
+    def begin(self) -> bytes | None:
+        """A connection is up: the act. The lease is looked at here, and nowhere before."""
+        if self.over or self.owner.node.token(self.export.task) != self.export.token:
+            self.end("the lease is over")
+            return None
+        body = msgspec.json.encode(self.export)
+        host, port = self.owner.config.collector
+        head = (
+            f"POST {self.owner.config.path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+            f"X-Fleet-Task: {self.export.task}\r\nX-Fleet-Token: {self.export.token}\r\n\r\n"
+        )
+        return head.encode() + body
+
+    def committed(self) -> None:
+        """It is out."""
+
+    def answered(self, response: Response) -> None:
+        """The collector's word: 409 says that a later token has been there."""
+        if response.status == 409:
+            self.owner.node.fenced(self.export.task)
+            self.end("a later holder has acted")
+        else:
+            self.end("" if response.status < 300 else f"status {response.status}")
+
+    def unsent(self) -> None:
+        """It did not go."""
+        self.end("the collector can't be reached")
+
+    def broken(self) -> None:
+        """It may have gone; the next one says more than this one did."""
+        self.end("the collector did not answer")
+
+    def end(self, why: str) -> None:
+        """Once."""
+        if not self.over:
+            self.over = True
+            self.owner.ended(self, why)
+
+
+class Exporter:
+    """The shell of an export: looks at its lease, asks the others, sends what they said."""
+
+    def __init__(
+        self, node: Node, task: str, config: TalliesConfig, pools: Pools, clock: Clock,
+        counts: Callable[[], Mapping[str, int]],
+    ) -> None:
+        self.node, self.config, self.pools, self.clock, self.counts = node, config, pools, clock, counts
+        s = node.settings
+        self.tallies = Tallies(s.fleet, task, s.name, config.every_s * 1000.0)
+        self.post: Post | None = None
+        self.failed = ""
+        node.words[task] = self.said
+        self.look()
+
+    def said(self, name: str, body: bytes) -> None:
+        """Another member asks for the counts, or tells its own."""
+        try:
+            item = word(body)
+        except msgspec.DecodeError:
+            log.warning("fleet_word_unknown", extra={"kv": {"peer": name, "task": self.tallies.task}})
+            return
+        if isinstance(item, Counts):
+            self.tallies.heard(name, item)
+            self._export()
+        else:
+            counts = Counts(item.number, self.node.member.life, dict(self.counts()))
+            self.node.say(name, self.tallies.task, msgspec.msgpack.encode(counts))
+
+    def look(self) -> None:
+        """Do what is due, and come again."""
+        if self.node.stopped:
+            return
+        now, task = self.clock.now_ms(), self.tallies.task
+        others = frozenset(self.node.settings.members) & self.node.member.roll.names()
+        if self.tallies.tick(now, self.node.token(task), self.counts(), others):
+            ask = msgspec.msgpack.encode(Ask(self.tallies.number))
+            for name in others:
+                self.node.say(name, task, ask)
+        self._export()
+        due = self.tallies.due_ms(now)
+        self.clock.call_at(now + min(max(1.0, due - now), LOOK_MS), self.look)
+
+    def _export(self) -> None:
+        if self.post is not None:
+            return
+        export = self.tallies.export(self.clock.now_ms())
+        if export is not None:
+            self.post = post = Post(self, export)
+            self.clock.call_at(self.clock.now_ms() + EXPORT_S * 1000.0, partial(self._late, post))
+            self.pools.pool(self.config.collector).submit(post)
+
+    def _late(self, post: Post) -> None:
+        if not post.over:
+            pool = self.pools.pool(self.config.collector)
+            if not pool.withdraw(post):
+                pool.cut(post)
+            post.end("no answer in time")
+
+    def ended(self, post: Post, why: str) -> None:
+        """An export is over; a reason is told when it is another than the last one."""
+        if self.post is post:
+            self.post = None
+        if why != self.failed:
+            self.failed = why
+            kv = {"task": post.export.task, "token": post.export.token, "why": why or "well again"}
+            log.info("fleet_export", extra={"kv": kv})
+
+
+class Fleet:
+    """What a dispatcher has where its file has a [fleet]."""
+
+    def __init__(self, dispatcher: Dispatcher, config: FleetConfig) -> None:
+        self.dispatcher, self.config = dispatcher, config
+        terms = Terms(config.term_s * 1000.0, config.drift, config.guard_ms)
+        tasks = EXPORTS if config.tallies is not None else ()
+        settings = NodeSettings(
+            dispatcher.config.name, config.name, config.listen, config.members, config.folder, tasks, terms
+        )
+        try:
+            self.node = Node(dispatcher.loop, settings, FILES(), CLOCK)
+        except FolderTakenError as error:
+            raise StartError(str(error)) from error
+        self.tasks = tasks
+
+    async def start(self) -> None:
+        """Take members' connections, and begin the tasks."""
+        loop = self.dispatcher.loop
+        server = await loop.create_server(self.node.accept, *self.config.listen, backlog=32)
+        self.node.listen(server)
+        log.info("fleet_listening", extra={"kv": {"address": ":".join(map(str, self.config.listen))}})
+        if self.config.tallies is not None:
+            engine = self.dispatcher.engine
+            pools = Pools(loop, 4, 1.0, 30.0)
+            for task in self.tasks:
+                Exporter(
+                    self.node, task, self.config.tallies, pools, engine.clock, lambda: engine.counts
+                )
+
+    def leave(self) -> None:
+        """A stop has begun: what this member holds is given back at once, so that others need not wait."""
+        for task in self.tasks:
+            self.node.release(task)
+
+    def stop(self) -> None:
+        """End."""
+        self.node.stop()
+
+    def shown(self) -> str:
+        """The members, for one line."""
+        member = self.node.member
+        said = "; ".join(f"{name}: {state}" for name, state in member.describe(self.node.clock()).items())
+        quorum = "heard" if member.quorum(self.node.clock()) else "not heard"
+        return f"epoch {member.roll.epoch}, a majority is {quorum}; {said}"
+
+    def leases(self) -> str:
+        """The tasks, for one line: what this member knows, which may be old where no majority is heard."""
+        now = self.node.clock()
+        parts = []
+        for task, tenure in sorted(self.node.member.tenures.items()):
+            token = tenure.token(now)
+            if token is not None:
+                left_s = (tenure.until_ms - now) / 1000.0
+                parts.append(f"{task}: held here, token {token}, {left_s:.1f} s more")
+            elif tenure.known and tenure.seen.holder:
+                ago = (now - tenure.seen_ms) / 1000.0
+                parts.append(f"{task}: {tenure.seen.holder}, token {tenure.seen.token}, seen {ago:.1f} s ago")
+            else:
+                parts.append(f"{task}: {'nobody' if tenure.known else 'not known'}")
+        return "; ".join(parts) or "no tasks"
+
+
+def form(config: Config) -> str:
+    """Write the first record of a member that founds a fleet; where it stands. ConfigError: it can't be."""
+    if config.fleet is None:
+        raise ConfigError("the file has no [fleet]")
+    names = sorted({config.name, *config.fleet.members})
+    roll = Roll(1, tuple((name, FOUNDING) for name in names))
+    records: list[Record] = [Born(config.fleet.name, FOUNDING, roll), Began(0)]
+    try:
+        store.found(config.fleet.folder, [encode(record) for record in records])
+    except OSError as error:
+        raise ConfigError(str(error)) from error
+    fleet = config.fleet
+    return f"{config.name} founds the fleet {fleet.name} of {', '.join(names)} in {fleet.folder}"
--- a/grebestack/program/operations.py
+++ b/grebestack/program/operations.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from grebestack.control.door import Reply
+    from grebestack.program.fleet import Fleet
     from grebestack.routing.interfaces import Clock
     from grebestack.routing.table import ServerTable
 
@@ -17,6 +18,7 @@
     """What calls work on."""
 
     life: Life
+    fleet: Fleet | None
     table: ServerTable
 
     @property
@@ -43,6 +45,11 @@
             return self._health()
         if call.verb.named:
             return self._cordon(call.server, call.verb is Verb.CORDON)
+        if call.verb in (Verb.FLEET, Verb.LEASES):
+            fleet = self.dispatcher.fleet
+            if fleet is None:
+                return Answer(False, "this dispatcher is a member of no fleet")
+            return Answer(True, fleet.shown() if call.verb is Verb.FLEET else fleet.leases())
         life, now = self.dispatcher.life, self.dispatcher.clock.now_ms()
         if call.verb is Verb.RESUME and not life.resume(now):
             return Answer(False, "stopping: a stop can't be taken back")
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,592 @@
+"""A fleet of real processes, a proxy on every link between them, faults by a seed, a checker of histories.
+
+Nothing here is part of the program. A schedule is drawn whole before it is played, so that a seed replays it;
+what is judged is the history: the collector's acts and the members' logs, on one outside clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import shlex
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from grebestack.fleet.lease import Fence
+from tests.cluster_member import TASKS
+from tests.standins import APPLIANCE_SETTINGS, StandIn, free_port, say
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class Act(NamedTuple):
+    """One export as the collector met it."""
+
+    at: float  # seconds, as all here, of the one outside clock
+    task: str
+    holder: str
+    token: int
+    accepted: bool
+
+
+class Held(NamedTuple):
+    """A member may act, by what it logged; on the outside clock."""
+
+    task: str
+    member: str
+    life: int
+    token: int
+    begin: float
+    end: float
+
+
+class Change(NamedTuple):
+    """One asking of a register that came into force."""
+
+    register: str
+    asked: float
+    at: float
+    before: str
+    after: str
+
+
+class Collector(StandIn):
+    """What is acted upon: it refuses a token that is older than one it has seen."""
+
+    def __init__(self) -> None:
+        self.acts: list[Act] = []
+        self.fences: dict[str, Fence] = {}
+        self.guard = threading.Lock()
+        super().__init__()
+
+    def handle(self, http: Any, body: bytes) -> None:
+        export = json.loads(body)
+        with self.guard:
+            accepted = self.fences.setdefault(export["task"], Fence()).admits(export["token"])
+            now = time.monotonic()
+            self.acts.append(Act(now, export["task"], export["holder"], export["token"], accepted))
+        http.reply(204 if accepted else 409)
+
+
+@dataclass
+class Way:
+    """One direction of a link."""
+
+    cut: bool = False  # bytes are lost, the connection stays
+    delay_s: float = 0.0
+    slow: int = 0  # bytes at a time, with a pause after each
+    half: bool = False  # the next bytes are cut in the middle, and the connection is reset
+
+
+class Proxy:
+    """All links between members, each through a listener of its own; both directions apart."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.ways: dict[tuple[str, str], Way] = {}
+        self.writers: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(20)
+
+    def link(self, a: str, b: str, port: int) -> int:
+        """Listen for a's calls of b; the port."""
+        self.ways[a, b], self.ways[b, a], self.writers[a, b] = Way(), Way(), set()
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                far_reader, far_writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                writer.transport.abort()
+                return
+            self.writers[a, b] |= {writer, far_writer}
+            both = (self._pump(reader, far_writer, (a, b)), self._pump(far_reader, writer, (b, a)))
+            with contextlib.suppress(OSError):
+                await asyncio.gather(*both)
+            for one in (writer, far_writer):
+                one.transport.abort()
+                self.writers[a, b].discard(one)
+
+        server = self.run(asyncio.start_server(accept, "127.0.0.1", 0))
+        return int(server.sockets[0].getsockname()[1])
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, key: Any) -> None:
+        while data := await reader.read(65536):
+            way = self.ways[key]
+            if way.cut:
+                continue
+            if way.delay_s:
+                await asyncio.sleep(way.delay_s)
+            if way.half:
+                way.half = False
+                writer.write(data[: len(data) // 2])
+                await writer.drain()
+                raise ConnectionResetError
+            for at in range(0, len(data), way.slow or len(data)):
+                writer.write(data[at : at + (way.slow or len(data))])
+                if way.slow:
+                    await asyncio.sleep(0.005)
+        raise ConnectionResetError
+
+    def reset(self, a: str, b: str) -> None:
+        """Reset the link's connections."""
+        key = (a, b) if (a, b) in self.writers else (b, a)
+
+        def abort() -> None:
+            for writer in list(self.writers[key]):
+                writer.transport.abort()
+
+        self.loop.call_soon_threadsafe(abort)
+
+
+@dataclass
+class Process:
+    """One member's place: its files, and the process that runs there now."""
+
+    name: str
+    folder: Path
+    door: tuple[str, int]
+    rate: float  # of its clock
+    process: subprocess.Popen[bytes] | None = None
+    copy: Path | None = None
+
+
+class Cluster:
+    """So many members, from one folder."""
+
+    def __init__(
+        self, folder: Path, count: int, rates: Iterable[float] = (), term_s: float = 2.0, every_s: float = 0.1
+    ) -> None:
+        self.folder, self.collector, self.proxy = folder, Collector(), Proxy()
+        self.names = [f"m{n}" for n in range(count)]
+        drift = list(rates) or [1.0] * count
+        ports = {name: free_port() for name in self.names}
+        seen: dict[str, dict[str, int]] = {name: {} for name in self.names}
+        for n, a in enumerate(self.names):
+            for b in self.names[n + 1 :]:  # of two members the first by name calls the other
+                seen[a][b], seen[b][a] = self.proxy.link(a, b, ports[b]), ports[a]
+        self.members: dict[str, Process] = {}
+        for n, name in enumerate(self.names):
+            door = ("127.0.0.1", free_port())
+            self.members[name] = Process(name, folder / name, door, drift[n])
+            (folder / name).mkdir()
+            others = "".join(f'{b} = "127.0.0.1:{port}"\n' for b, port in seen[name].items())
+            (folder / f"{name}.toml").write_text(
+                f'name = "{name}"\nlisten = "127.0.0.1:{free_port()}"\ncontrol = "127.0.0.1:{door[1]}"\n'
+                f'[servers]\nsource = "list"\nlist = []\n[fleet]\nname = "rig"\nfolder = "{name}/disk"\n'
+                f'term_s = {term_s}\ndrift = 0.01\n[fleet.members]\n{name} = "127.0.0.1:{ports[name]}"\n'
+                f'{others}[fleet.tallies]\ncollector = "127.0.0.1:{self.collector.address[1]}"\n'
+                f"every_s = {every_s}\n{APPLIANCE_SETTINGS}"
+            )
+            subprocess.run(
+                [sys.executable, "-m", "grebestack", "form", "--config", str(folder / f"{name}.toml")],
+                cwd=ROOT, check=True, stdout=subprocess.DEVNULL,
+            )
+
+    def start(self, name: str) -> None:
+        member = self.members[name]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            member.process = subprocess.Popen(
+                [sys.executable, "-m", "tests.cluster_member", str(self.folder / f"{name}.toml"),
+                 str(member.folder / "faults"), str(member.rate)],
+                cwd=ROOT, stderr=log, stdout=log,
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        process = self.members[name].process
+        assert process is not None
+        process.send_signal(number)
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            process.wait(20)
+
+    def logs(self, name: str) -> list[Path]:
+        return sorted((self.members[name].folder / "disk").glob("registers-*.log"))
+
+    def order(self, name: str, **faults: Any) -> None:
+        """Have a member's disk fail from now on, or no longer."""
+        path = self.members[name].folder / "faults"
+        path.with_suffix(".new").write_text(json.dumps(faults))
+        path.with_suffix(".new").rename(path)
+
+    def holders(self) -> dict[str, str]:
+        """Who acted last for each task."""
+        return {act.task: act.holder for act in self.collector.acts if act.accepted}
+
+    def shown(self, name: str, call: str = "fleet") -> str:
+        try:
+            return say(self.members[name].door, call)
+        except OSError as error:
+            return f"FAILURE {error}"
+
+    def close(self) -> None:
+        for member in self.members.values():
+            if member.process is not None and member.process.poll() is None:
+                member.process.send_signal(signal.SIGCONT)
+                member.process.kill()
+                member.process.wait(20)
+        self.collector.close()
+        self.proxy.loop.call_soon_threadsafe(self.proxy.loop.stop)
+
+    # The history.
+
+    def lines(self, name: str) -> Iterable[dict[str, str]]:
+        for line in (self.folder / f"{name}.log").read_text(errors="replace").splitlines():
+            with contextlib.suppress(ValueError):
+                yield dict(part.split("=", 1) for part in shlex.split(line) if "=" in part)
+
+    def history(self) -> History:
+        """All that was logged and met so far."""
+        history = History(acts=list(self.collector.acts))
+        for name, member in self.members.items():
+            scale = 1000.0 * member.rate
+            for line in self.lines(name):
+                event = line.get("event")
+                if event == "lease_held":
+                    history.held.append(Held(
+                        line["task"], name, int(line["life"]), int(line["token"]),
+                        float(line["at"]) / scale, float(line["until"]) / scale,
+                    ))
+                elif event == "lease_lost":
+                    history.lose(line["task"], name, int(line["token"]), float(line["at"]) / scale)
+                elif event == "fleet_register" and line["outcome"] == "CHOSEN":
+                    history.changes.append(Change(
+                        line["register"], float(line["asked"]) / scale, float(line["at"]) / scale,
+                        line["before"], line["after"],
+                    ))
+                elif line.get("level") == "error" or "traceback" in line:
+                    history.faults.append(f"{name}: {line}")
+        return history
+
+
+@dataclass
+class History:
+    """What is judged."""
+
+    acts: list[Act] = field(default_factory=list)
+    held: list[Held] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+
+    def lose(self, task: str, member: str, token: int, at: float) -> None:
+        """A member says that it acts no more."""
+        for n, one in enumerate(self.held):
+            if (one.task, one.member, one.token) == (task, member, token) and one.end > at:
+                self.held[n] = one._replace(end=max(one.begin, at))
+
+    def wrong(self) -> list[str]:
+        """Every rule that the history breaks."""
+        return [*self.faults, *self._overlaps(), *self._tokens(), *self._registers()]
+
+    def _overlaps(self) -> Iterable[str]:
+        """Intervals of members that may act are disjoint."""
+        for task in {h.task for h in self.held}:
+            last: Held | None = None
+            for one in sorted((h for h in self.held if h.task == task), key=lambda h: (h.begin, h.end)):
+                if last is not None and one[1:4] != last[1:4] and one.begin < last.end:
+                    yield f"overlap: {last} and {one}"
+                if last is None or one.end > last.end:
+                    last = one
+
+    def _tokens(self) -> Iterable[str]:
+        """Accepted acts have tokens that don't fall, each of one holder; none is accepted that is stale."""
+        holder: dict[tuple[str, int], tuple[str, int | None]] = {}
+        for h in self.held:
+            if holder.setdefault((h.task, h.token), (h.member, h.life)) != (h.member, h.life):
+                yield f"token {h.token} of {h.task} was held by {holder[h.task, h.token]} and {h.member}"
+        highest: dict[str, int] = {}
+        for act in self.acts:
+            known = holder.get((act.task, act.token))
+            if known is not None and known[0] != act.holder:
+                yield f"token {act.token} of {act.task} is {known[0]}'s, {act.holder} acted with it"
+            if act.accepted and act.token < highest.get(act.task, 0):
+                yield f"a stale act was accepted: {act}"
+            highest[act.task] = max(act.token, highest.get(act.task, 0))
+
+    def _registers(self) -> Iterable[str]:
+        """Changes form one chain from the first value on, and their order is that of the outside clock.
+
+        An asking whose end nobody heard of may have come into force: it is the one whose value others met.
+        """
+        for register in {c.register for c in self.changes}:
+            mine = [c for c in self.changes if c.register == register]
+            after: dict[str, Change] = {}
+            for c in mine:
+                if c.before != c.after and c.before in after and after[c.before].after != c.after:
+                    yield f"{register}: two changes of {c.before!r}: {after[c.before]} and {c}"
+                if c.before != c.after:
+                    after[c.before] = c
+            # Whoever asked after another had its answer must meet that value or a later one. Values are
+            # ordered by token and asking; a set is chosen once.
+            best: tuple[float, tuple[int, ...]] | None = None
+            ends = sorted(mine, key=lambda c: c.at)
+            begins = sorted(mine, key=lambda c: c.asked)
+            n = 0
+            for c in begins:
+                while n < len(ends) and ends[n].at < c.asked:
+                    value = place(ends[n].after)
+                    if best is None or value > best[1]:
+                        best = ends[n].at, value
+                    n += 1
+                if best is not None and place(c.before) < best[1]:
+                    yield f"{register}: {c} met an older value than was in force at {best[0]:.3f}"
+
+
+def place(value: str) -> tuple[int, ...]:
+    """A value's place in the order of its register: token, whether it was given back, asking."""
+    parts = value.split("/")
+    if len(parts) != 4:
+        return (1 if value else 0,)
+    return int(parts[2]), int(parts[1] == "0"), int(parts[3])
+
+
+# The faults, and their schedule.
+
+
+class Fault(NamedTuple):
+    """One fault of a schedule: when it comes, how long it stays, and whom it hits."""
+
+    at: float
+    lasts: float
+    kind: str
+    member: str
+    other: str = ""
+
+
+ALONE = ("quorum lost", "disk lost", "old disk", "disk lies", "bit flipped", "sync fails", "disk full")
+KINDS = (
+    "kill", "kill", "kill holder", "kill holder", "stop holder", "stop", "cut off", "cut one way", "stall",
+    "delay", "slow", "reset", "half", "slow sync", "terminate holder", "quorum lost", "disk lost",
+    "old disk", "disk lies", "bit flipped", "sync fails", "disk full",
+)
+
+
+def schedule(seed: int, names: list[str], seconds: float, gap: float = 3.0) -> list[Fault]:
+    """Faults drawn from a seed, one after the other or two side by side; all kinds come in turn.
+
+    Those that take a disk or the quorum come alone: what is lost beyond a minority is lost for good.
+    """
+    drawn = random.Random(seed)
+    faults: list[Fault] = []
+    at, kinds = 0.0, list[str]()
+    while at < seconds:
+        if not kinds:
+            kinds = list(KINDS)
+            drawn.shuffle(kinds)
+        kind = kinds.pop()
+        member, other = drawn.sample(names, 2)
+        lasts = drawn.uniform(0.3, 4.0)
+        faults.append(Fault(at, lasts, kind, member, other))
+        alone = kind in ALONE or bool(kinds) and kinds[-1] in ALONE
+        at += lasts + gap * drawn.uniform(0.7, 1.3) if alone else drawn.uniform(0.5, gap + lasts)
+    return faults
+
+
+@dataclass
+class Played:
+    """When what was done."""
+
+    kills: list[tuple[float, tuple[str, ...]]] = field(default_factory=list)  # the tasks that lost a holder
+    heals: list[float] = field(default_factory=list)
+    unplayed: int = 0
+
+
+class Player:
+    """Plays a schedule over a cluster."""
+
+    def __init__(self, cluster: Cluster, seed: int) -> None:
+        self.cluster, self.random = cluster, random.Random(f"{seed} play")
+        self.played = Played()
+        self.hit: set[str] = set()  # who is down, stopped or cut off by a fault of now
+
+    def play(self, faults: list[Fault], told: Callable[[str], None] = lambda _: None) -> Played:
+        """Play them all; every fault is over when this returns."""
+        began, pending = time.monotonic(), list[tuple[float, Callable[[], None]]]()
+        for fault in faults:
+            self._until(began + fault.at, pending)
+            told(f"{fault.at:7.2f} {fault.kind} {fault.member} {fault.other} for {fault.lasts:.2f}")
+            over = self._begin(fault)
+            if over is not None:
+                pending.append((time.monotonic() + fault.lasts, over))
+        self._until(float("inf"), pending)
+        return self.played
+
+    def _until(self, at: float, pending: list[tuple[float, Callable[[], None]]]) -> None:
+        while True:
+            pending.sort(key=lambda item: item[0])
+            now = time.monotonic()
+            if pending and pending[0][0] <= min(now, at):
+                pending.pop(0)[1]()
+            elif not pending and (now >= at or at == float("inf")):
+                return
+            elif pending and pending[0][0] < at:
+                time.sleep(max(0.0, pending[0][0] - now))
+            elif now >= at:
+                return
+            else:
+                time.sleep(at - now)
+
+    def _begin(self, fault: Fault) -> Callable[[], None] | None:
+        cluster, member = self.cluster, fault.member
+        if "holder" in fault.kind:
+            holders = [h for h in cluster.holders().values() if h not in self.hit]
+            member = self.random.choice(sorted(holders)) if holders else member
+        most = (len(cluster.names) - 1) // 2
+        alone = fault.kind in ALONE
+        if member in self.hit or len(self.hit) + (len(cluster.names) if alone else 1) > (
+            len(cluster.names) if alone else most
+        ):
+            self.played.unplayed += 1
+            return None
+        hit = {member}
+        if fault.kind == "quorum lost":
+            hit = set(self.random.sample(cluster.names, len(cluster.names) // 2 + 1))
+        elif fault.kind in ("delay", "slow", "reset", "half", "slow sync"):
+            hit = set()
+        self.hit |= hit
+        end = getattr(self, "_" + fault.kind.replace(" holder", "").replace(" ", "_"))(member, fault, hit)
+
+        def over() -> None:
+            end()
+            self.hit -= hit
+
+        return over
+
+    def _ways(self, member: str) -> list[Way]:
+        return [way for pair, way in self.cluster.proxy.ways.items() if member in pair]
+
+    def _kill(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        held = tuple(task for task, holder in self.cluster.holders().items() if holder == member)
+        self.cluster.signal(member, signal.SIGKILL)
+        if "holder" in fault.kind:
+            self.played.kills.append((time.monotonic(), held))
+        return lambda: self.cluster.start(member)
+
+    def _terminate(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.signal(member, signal.SIGTERM)
+        return lambda: self.cluster.start(member)
+
+    def _stop(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.signal(member, signal.SIGSTOP)
+        return lambda: self.cluster.signal(member, signal.SIGCONT)
+
+    def _cut(self, ways: list[Way]) -> Callable[[], None]:
+        for way in ways:
+            way.cut = True
+
+        def heal() -> None:
+            for way in ways:
+                way.cut = False
+
+        return heal
+
+    def _cut_off(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        return self._cut(self._ways(member))
+
+    def _cut_one_way(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        return self._cut([way for (a, _), way in self.cluster.proxy.ways.items() if a == member])
+
+    def _stall(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        ways = self.cluster.proxy.ways
+        return self._cut([ways[member, fault.other], ways[fault.other, member]])
+
+    def _quorum_lost(self, member: str, fault: Fault, hit: set[str]) -> Callable[[], None]:
+        heal = self._cut([way for pair, way in self.cluster.proxy.ways.items() if set(pair) & hit])
+
+        def over() -> None:
+            heal()
+            self.played.heals.append(time.monotonic())
+
+        return over
+
+    def _delay(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        return self._set(self._ways(member), "delay_s", 0.15, 0.0)
+
+    def _slow(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        return self._set(self._ways(member), "slow", 16, 0)
+
+    def _set(self, ways: list[Way], name: str, value: Any, former: Any) -> Callable[[], None]:
+        for way in ways:
+            setattr(way, name, value)
+
+        def over() -> None:
+            for way in ways:
+                setattr(way, name, former)
+
+        return over
+
+    def _reset(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.proxy.reset(member, fault.other)
+        return lambda: None
+
+    def _half(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        return self._set([self.cluster.proxy.ways[member, fault.other]], "half", True, False)
+
+    def _slow_sync(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.order(member, slow=0.3)
+        return lambda: self.cluster.order(member)
+
+    def _sync_fails(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.order(member, sync="EIO")
+        return lambda: self.cluster.order(member)
+
+    def _disk_full(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.order(member, write="ENOSPC")
+        return lambda: self.cluster.order(member)
+
+    def _disk_lost(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.signal(member, signal.SIGKILL)
+        shutil.rmtree(self.cluster.members[member].folder / "disk")
+        return lambda: self.cluster.start(member)
+
+    def _old_disk(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        disk = self.cluster.members[member].folder / "disk"
+        old = disk.with_name("old")
+        shutil.copytree(disk, old, dirs_exist_ok=True)
+
+        def over() -> None:
+            self.cluster.signal(member, signal.SIGKILL)
+            shutil.rmtree(disk)
+            old.rename(disk)
+            self.cluster.start(member)
+
+        return over
+
+    def _disk_lies(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        logs = self.cluster.logs(member)
+        honest = logs[-1].stat().st_size if logs else 0
+        self.cluster.order(member, lie=True)
+
+        def over() -> None:
+            self.cluster.signal(member, signal.SIGKILL)
+            logs = self.cluster.logs(member)
+            if logs and logs[-1].stat().st_size > honest:
+                os.truncate(logs[-1], self.random.randint(honest, logs[-1].stat().st_size - 1))
+            self.cluster.order(member)
+            self.cluster.start(member)
+
+        return over
+
+    def _bit_flipped(self, member: str, fault: Fault, hit: Any) -> Callable[[], None]:
+        self.cluster.signal(member, signal.SIGKILL)
+        for log in self.cluster.logs(member)[-1:]:
+            data = bytearray(log.read_bytes())
+            data[self.random.randrange(30, len(data) // 2)] ^= 1 << self.random.randrange(8)
+            log.write_bytes(data)
+        return lambda: self.cluster.start(member)
+
+
+def tasks() -> tuple[str, ...]:
+    """The tasks of each member."""
+    return TASKS
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -21,6 +21,8 @@
 from dataclasses import dataclass, replace
 from typing import Any, NamedTuple
 
+import msgspec
+
 from grebestack.fleet.lease import NEVER, Lease, Tenure, Terms, lease_of
 from grebestack.fleet.register import (
     NONE,
@@ -188,9 +190,10 @@
         if self.variant == "token from memory" and round_.value != round_.before:
             mine = lease_of(round_.value)
             if mine.holder == asker.tenure.me and not asker.before.held:
-                round_ = replace(round_, value=replace(mine, token=asker.before.seen.token + 1))
+                mine = msgspec.structs.replace(mine, token=asker.before.seen.token + 1)
+                round_ = replace(round_, value=mine)
         if self.variant == "same marks" and isinstance(round_.value, Lease):
-            round_ = replace(round_, value=replace(round_.value, mark=0))
+            round_ = replace(round_, value=msgspec.structs.replace(round_.value, mark=0))
         after, sent = asker._replace(round=round_), world.sent
         if round_.phase is Phase.ACCEPTING and asker.round.phase is Phase.PREPARING:
             sent = sent | {(round_.ballot, True, round_.value)}
--- /dev/null
+++ b/tests/fleet_set_model.py
@@ -0,0 +1,244 @@
+"""Every state that a change of the set can reach, within a bound: one of three members is replaced.
+
+    python -m tests.fleet_set_model [--states N] [--variant NAME] [--start NAME]
+
+c is to be replaced by itself under a new incarnation while its old one still answers, a stopped process that
+goes on, say. What the following set is has been agreed on (`tests.fleet_model` explores that). From `asked`
+on, one has asked in the former epoch, a and b have promised, and another asks in the following one; at
+`sealed` a and b have also ended the former epoch; at `both` they have, and two ask in the following one.
+Messages are never taken off the wire: each may come late, more than once, in any order or not at all; the
+code is that of `grebestack.fleet`. What was in force is never lost: all values that ever were, in either
+epoch, are the beginnings of one another.
+
+An answer is heard at once or not at all: as what an asker says in turn may come at any time, to hear it later
+leads nowhere else. That a value was accepted need not be heard: the disks show it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections import deque
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from grebestack.fleet.actions import Peer, Send, Write
+from grebestack.fleet.messages import (
+    Accept,
+    Behind,
+    Enter,
+    Entered,
+    Kept,
+    Message,
+    Prepare,
+    Promise,
+    Roll,
+    Seal,
+    Sealed,
+    SlotOf,
+)
+from grebestack.fleet.register import NONE, Ballot, Phase, Promised, Round, Slot
+from grebestack.fleet.shelf import Shelf, merged
+from grebestack.fleet.voter import Voter
+
+FORMER = Roll(1, (("a", "1"), ("b", "1"), ("c", "1")))
+FOLLOWING = Roll(2, (("a", "1"), ("b", "1"), ("c", "2")))
+VOTERS = (("a", "1"), ("b", "1"), ("c", "1"), ("c", "2"))
+VARIANTS = (
+    "votes on after sealing", "one seal is enough", "nothing is carried over", "votes before it has entered",
+    "the old incarnation votes on",
+)
+STARTS = ("asked", "sealed", "both")
+X = "x"
+
+
+class Disk(NamedTuple):
+    """A voter."""
+
+    roll: Roll = FORMER
+    sealed: bool = False
+    slot: Slot = Slot()
+    ever: frozenset[tuple[int, Ballot, Any]] = frozenset()  # what it has accepted, and in which epoch
+
+
+class Asker(NamedTuple):
+    """One that changes the register: it adds its own letter to what is there."""
+
+    epoch: int = 0
+    round: Round | None = None
+
+
+class World(NamedTuple):
+    """One state."""
+
+    disks: tuple[Disk, ...]
+    askers: tuple[Asker, ...] = (Asker(), Asker())
+    asked: frozenset[tuple[int, Ballot, Any]] = frozenset()  # epoch, ballot, and a value where to accept
+    seals: frozenset[tuple[int, SlotOf]] = frozenset()
+    enters: frozenset[tuple[SlotOf, ...]] = frozenset()  # by members that are there already
+
+
+def start(name: str) -> World:
+    """The first value is in force: a and c have accepted it."""
+    told: Any
+    first, ever = Ballot(1), frozenset({(1, Ballot(1), "0")})
+    if name == "both":
+        held = Disk(sealed=True, slot=Slot(first, first, "0"), ever=ever)
+        told = ((0, (X, first, first, "0")), (1, (X, NONE, NONE, None)))
+        return World((held, Disk(sealed=True), held, Disk()), seals=frozenset(told))
+    mine = Ballot(2, "x", 1)
+    a, b = Disk(slot=Slot(mine, first, "0"), ever=ever), Disk(slot=Slot(mine))
+    c = Disk(slot=Slot(first, first, "0"), ever=ever)
+    asked = frozenset({(1, mine, "0x")})
+    askers = Asker(1, Round(mine, 2, Phase.ACCEPTING)), Asker()
+    told = ()
+    if name == "sealed":
+        a, b = a._replace(sealed=True), b._replace(sealed=True)
+        told = ((0, (X, mine, first, "0")), (1, (X, mine, NONE, None)))
+    return World((a, b, c, Disk()), askers, asked, frozenset(told))
+
+
+class Model:
+    """The steps from each state, and what must hold in it."""
+
+    def __init__(self, variant: str = "") -> None:
+        self.variant = variant
+
+    def wrong(self, world: World) -> str:
+        """Whether two values that were in force are not the beginnings of one another."""
+        chosen = set()
+        for epoch, roll in ((1, FORMER), (2, FOLLOWING)):
+            by: dict[tuple[Ballot, Any], set[str]] = {}
+            for (name, incarnation), disk in zip(VOTERS, world.disks, strict=True):
+                if roll.counts(name, incarnation) or self.variant == "the old incarnation votes on":
+                    for at, ballot, value in disk.ever:
+                        if at == epoch:
+                            by.setdefault((ballot, value), set()).add(name)
+            chosen |= {value for (_, value), names in by.items() if len(names) >= roll.majority}
+        values = sorted(chosen, key=len)
+        ok = all(b.startswith(a) for a, b in zip(values, values[1:], strict=False))
+        return "" if ok else f"in force were {values}"
+
+    def steps(self, world: World) -> Iterator[tuple[str, World]]:
+        """What may happen next, each with the state after it."""
+        for n, asker in enumerate(world.askers):
+            if asker.round is None:
+                ballot = Ballot(2 + n, "xy"[n], 1)
+                yield f"{'xy'[n]} asks", world._replace(
+                    askers=_put(world.askers, n, Asker(2, Round(ballot, 2))),
+                    asked=world.asked | {(2, ballot, None)},
+                )
+        for voter in range(len(VOTERS)):
+            for epoch, ballot, value in world.asked:
+                message = Prepare(epoch, X, ballot) if value is None else Accept(epoch, X, ballot, value)
+                yield from self._voter(world, voter, message)
+            yield from self._voter(world, voter, Seal(1, FOLLOWING))
+            yield from self._voter(world, voter, Behind(1))
+            for enter in self._enters(world):
+                yield from self._voter(world, voter, enter)
+
+    def _enters(self, world: World) -> Iterator[Enter]:
+        least = 1 if self.variant == "one seal is enough" else FORMER.majority
+        seals = sorted(world.seals, key=lambda item: item[0])
+        for first in range(len(seals)):
+            for last in range(first + least, len(seals) + 1):
+                some = [seal for _, seal in seals[first:last]]
+                nothing = self.variant == "nothing is carried over"
+                yield Enter(FOLLOWING, () if nothing else merged([(slot,) for slot in some]))
+        for slots in world.enters:
+            yield Enter(FOLLOWING, slots)
+
+    def _heard(self, world: World, epoch: int, voter: int, answer: Promised) -> World:
+        n = "xy".index(answer.ballot.member)
+        asker, name = world.askers[n], VOTERS[voter][0]
+        assert asker.round is not None
+        round_ = asker.round.answered(name, answer, lambda value: (value or "") + "xy"[n])
+        asked = world.asked
+        if round_.phase is Phase.ACCEPTING and asker.round.phase is Phase.PREPARING:
+            asked = asked | {(asker.epoch, round_.ballot, round_.value)}
+        askers = _put(world.askers, n, asker._replace(round=round_))
+        return world._replace(askers=askers, asked=asked)
+
+    def _voter(self, world: World, n: int, message: Message) -> Iterator[tuple[str, World]]:
+        disk, (name, incarnation) = world.disks[n], VOTERS[n]
+        shelf = Shelf("f", incarnation, disk.roll, FOLLOWING if disk.sealed else None, 1)
+        if disk.slot != Slot():
+            shelf.slots[X] = disk.slot
+        voter = Voter(name, shelf, 1, 0.0)
+        voter.vouched = True
+        if self.variant == "votes on after sealing" and isinstance(message, Prepare | Accept):
+            shelf.following = None
+        if self.variant == "votes before it has entered" and incarnation == "2":
+            shelf.roll = FOLLOWING
+        if self.variant == "the old incarnation votes on" and shelf.roll == FOLLOWING:
+            shelf.incarnation = dict(FOLLOWING.members)[name]
+        actions = voter.heard(Peer("asker", "1", 1), message) + voter.synced(99)
+        ever = disk.ever
+        for action in actions:
+            if isinstance(action, Write) and isinstance(action.record, Kept | Entered):
+                slots = action.record.slots if isinstance(action.record, Entered) else (action.record.slot,)
+                for _, _, accepted, value in slots:
+                    if accepted != NONE:
+                        ever = ever | {(shelf.roll.epoch, accepted, value)}
+        sealed = shelf.following is not None or disk.sealed and shelf.roll == disk.roll
+        after = Disk(shelf.roll, sealed, shelf.slots.get(X, Slot()), ever)
+        world = world._replace(disks=_put(world.disks, n, after))
+        what = f"{VOTERS[n]} is told {message}"
+        for action in actions:
+            if isinstance(action, Send):
+                said = action.message
+                if isinstance(said, Sealed):
+                    mine = said.slots[0] if said.slots else (X, NONE, NONE, None)
+                    world = world._replace(seals=world.seals | {(n, mine)})
+                elif isinstance(said, Enter):
+                    world = world._replace(enters=world.enters | {said.slots})
+                elif isinstance(said, Promise):
+                    yield f"{what}, which is not heard", world
+                    answer = Promised(said.ballot, said.accepted, said.value)
+                    world = self._heard(world, said.epoch, n, answer)
+        yield what, world
+
+
+def _put(items: tuple[Any, ...], place: int, item: Any) -> tuple[Any, ...]:
+    return (*items[:place], item, *items[place + 1 :])
+
+
+def explore(model: Model, begins: str, most: int) -> tuple[int, bool, str, tuple[str, ...]]:
+    """States seen, whether these are all, what is wrong, and the shortest way there."""
+    first = start(begins)
+    came: dict[World, tuple[World, str] | None] = {first: None}
+    queue = deque([first])
+    while queue:
+        world = queue.popleft()
+        for what, after in model.steps(world):
+            if after in came:
+                continue
+            came[after] = (world, what)
+            if wrong := model.wrong(after):
+                trace = []
+                step = came[after]
+                while step is not None:
+                    trace.append(step[1])
+                    step = came[step[0]]
+                return len(came), False, wrong, tuple(reversed(trace))
+            if len(came) >= most:
+                return len(came), False, "", ()
+            queue.append(after)
+    return len(came), True, "", ()
+
+
+def main() -> int:
+    """Explore by command, as far as is wanted."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--states", type=int, default=1_000_000)
+    parser.add_argument("--variant", default="", choices=("", *VARIANTS))
+    parser.add_argument("--start", default="asked", choices=STARTS)
+    args = parser.parse_args()
+    states, whole, wrong, trace = explore(Model(args.variant), args.start, args.states)
+    print("\n".join(trace))
+    print(f"states={states} whole={whole} wrong={wrong!r}")
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -9,6 +9,7 @@
 from functools import partial
 
 import pytest
+from msgspec import structs
 
 from grebestack.fleet.lease import FREE, Fence, Lease, Tenure, Terms, releasing, taking
 from grebestack.fleet.register import NONE, Answer, Ballot, Phase, Round, Slot, Value, accept, prepare
@@ -64,7 +65,7 @@
     mine = Lease("a", 1, 4, 7)
     asking, _ = replace(Tenure("a", 1, terms), known=True, seen=mine, asked=7).ask(5000.0)
     assert asking.chosen(5010.0, mine, mine).token(5011.0) is None
-    assert asking.chosen(5010.0, mine, replace(mine, mark=8)).token(5011.0) == 4
+    assert asking.chosen(5010.0, mine, structs.replace(mine, mark=8)).token(5011.0) == 4
 
 
 def test_a_former_life_of_the_same_member_holds_nothing_and_is_waited_for() -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,17 +20,18 @@
     "drmaa": {"core", "routing", "transport", "waiting", "jobs", "drmaa"},
     "control": {"control"},
     "fleet": {"fleet"},
+    "mesh": {"fleet", "mesh"},
     "handover": {"handover"},
     "program": {
         "core", "routing", "transport", "protocol", "membership", "consul", "waiting", "jobs", "drmaa",
-        "control", "handover", "program",
+        "control", "handover", "fleet", "mesh", "program",
     },
 }
 # Opening a connection, which the loop offers only as a coroutine, and the program's own start.
 COROUTINES = {
     "Pools._dial", "Watch._open", "Dispatcher.run", "Dispatcher._start_drmaa", "Dispatcher._open_door",
     "Dispatcher.listen", "Dispatcher.accept_and_serve", "Dispatcher._begin_upgrade", "Upgrade.begin",
-    "Upgrade._take", "run.main",
+    "Upgrade._take", "run.main", "Dialler._open", "Fleet.start",
 }
 
 
@@ -67,5 +68,5 @@
         walk(ast.parse(path.read_text()), "")
     assert found == COROUTINES
     assert sorted(tasks) == [
-        "Pools.dial", "Upgrade._accept", "Upgrade._adopt", "Watch.start",
+        "Dialler.dial", "Pools.dial", "Upgrade._accept", "Upgrade._adopt", "Watch.start",
     ]
