Three tasks under leases: one reading of servers for all, a paced restart, tallies that don't wait

A lease that nothing acts under proves nothing; a restart of the fleet by hand has two dispatchers away at once sooner or later.

Ruled out: the list in a register (rewritten at each change), gossip of lists (no one order), a plan of the restart in its holder's memory (lost with it).

A free task is taken by the first in line instead of all at once (Tenure.due_ms), so that tasks spread.

--- a/grebestack/control/calls.py
+++ b/grebestack/control/calls.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 MOST_LINE = 256  # bytes of a line, its end not counted
-ALLOWED = "health, cordon ID, uncordon ID, quiesce, resume, fleet, leases"
+ALLOWED = "health, cordon ID, uncordon ID, quiesce, resume, fleet, leases, restart, halt, drop ID"
 
 
 class Verb(Enum):
@@ -19,11 +19,14 @@
     RESUME = "resume"
     FLEET = "fleet"
     LEASES = "leases"
+    RESTART = "restart"
+    HALT = "halt"
+    DROP = "drop"
 
     @property
     def named(self) -> bool:
-        """Whether it is said of one server."""
-        return self is Verb.CORDON or self is Verb.UNCORDON
+        """Whether it is said of one server, or of one member of the fleet."""
+        return self in (Verb.CORDON, Verb.UNCORDON, Verb.DROP)
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebestack/fleet/lease.py
+++ b/grebestack/fleet/lease.py
@@ -49,7 +49,7 @@
     term_ms: float = 4000.0
     drift: float = 0.01
     guard_ms: float = 50.0
-    renew_at: float = 0.35  # of the term: the next renewal is asked for
+    renew_at: float = 0.45  # of the term: the next renewal is asked for
     stagger_ms: float = 100.0  # a rival further back in the line waits so much longer for each place
 
     def __post_init__(self) -> None:
@@ -162,8 +162,10 @@
             asked_ms = self.until_ms - self.terms.usable_ms
             return max(self.again_ms, asked_ms + self.terms.term_ms * self.terms.renew_at)
         handed = self.seen.holder == self.me and self.seen.life in (0, self.life)
-        if not self.known or not self.seen.holder or handed:
+        if not self.known or handed:
             return self.again_ms
+        if not self.seen.holder:  # the first in the line takes it, rather than all at once
+            return max(self.again_ms, self.seen_ms + self.place * self.terms.stagger_ms)
         wait = self.terms.wait_ms + self.place * self.terms.stagger_ms
         return max(self.again_ms, self.seen_ms + wait)
 
--- a/grebestack/fleet/member.py
+++ b/grebestack/fleet/member.py
@@ -192,6 +192,10 @@
         self.askings[register] = Asking(change, Round(ballot, roll.majority), now_ms, ended)
         return self._to_all(Prepare(roll.epoch, register, ballot))
 
+    def change(self, now_ms: float, register: str, change: Change, ended: Ended) -> list[Action]:
+        """As `ask`, for whoever runs this member."""
+        return self._done(now_ms, [*self.ask(now_ms, register, change, ended)])
+
     def _said(self, register: str, round_: Round) -> list[Send]:
         """What an asking says in its phase; it may be said again."""
         if round_.phase is Phase.PREPARING:
@@ -266,14 +270,14 @@
         """Stand in line again."""
         self.tenures[task] = replace(self.tenures[task], wanted=True, again_ms=now_ms)
 
-    def _linked(self) -> bool:
+    def linked_enough(self) -> bool:
         """Whether an asking can come to anything: as many as decide are connected."""
         linked = sum(name in self.links for name in self.roll.names() - {self.name})
         return bool(self.roll.epoch) and linked + self.voter.counted >= self.roll.majority
 
     def _due(self, now_ms: float, task: str) -> list[Action]:
         register, tenure = TASK + task, self.tenures[task]
-        if register in self.askings or not self._linked():
+        if register in self.askings or not self.linked_enough():
             return []
         tenure, change = tenure.ask(now_ms)
         if change is None:
@@ -380,7 +384,7 @@
 
     def due_ms(self, now_ms: float) -> float:
         """When `tick` is to be called at the latest."""
-        due, linked = min(self.peers.next_ms, now_ms + IDLE_MS), self._linked()
+        due, linked = min(self.peers.next_ms, now_ms + IDLE_MS), self.linked_enough()
         due = min(due, self.reform_ms)
         for asking in self.askings.values():
             due = min(due, asking.asked_ms + ASK_MS)
--- a/grebestack/fleet/messages.py
+++ b/grebestack/fleet/messages.py
@@ -35,7 +35,20 @@
         return (name, incarnation) in self.members
 
 
-Held = Lease | Roll | None  # what a register may hold
+class Plan(Struct, frozen=True, array_like=True, tag="plan"):
+    """A restart of the fleet, one member after the other; see `pacing`."""
+
+    number: int
+    by: str  # on whose door it was asked for
+    members: tuple[str, ...]
+    done: tuple[str, ...] = ()  # they are back
+    step: str = ""  # whose turn it is
+    life: int = 0  # in which life that one was told
+    state: str = ""
+    why: str = ""
+
+
+Held = Lease | Roll | Plan | None  # what a register may hold
 SlotOf = tuple[str, Ballot, Ballot, Held]  # register, promised, accepted, value
 
 
--- a/grebestack/fleet/tallies.py
+++ b/grebestack/fleet/tallies.py
@@ -57,12 +57,13 @@
     number: int
     token: int
     until_ms: float
-    others: frozenset[str]
+    asked: frozenset[str]  # who is connected, and waited for
+    all: frozenset[str]
     counts: dict[str, dict[str, int]] = field(default_factory=dict)
 
     def ripe(self, now_ms: float) -> bool:
         """Whether it goes out now, complete or not."""
-        return now_ms >= self.until_ms or self.others <= set(self.counts)
+        return now_ms >= self.until_ms or self.asked <= set(self.counts)
 
 
 class Tallies:
@@ -75,15 +76,18 @@
         self.next_ms = 0.0
         self.gathering: Gathering | None = None
 
-    def tick(self, now_ms: float, token: int | None, own: Mapping[str, int], others: frozenset[str]) -> bool:
-        """Time has passed, under this token; True where the others are to be asked for number `number`."""
+    def tick(
+        self, now_ms: float, token: int | None, own: Mapping[str, int], connected: frozenset[str],
+        all: frozenset[str],
+    ) -> bool:
+        """Time has passed, under this token; True where the connected are to be asked for number `number`."""
         if token != self.token:  # a new holder begins at once, and counts its exports anew
             self.token, self.number, self.next_ms, self.gathering = token, 0, now_ms, None
         if token is None or self.gathering is not None or now_ms < self.next_ms:
             return False
         self.number += 1
         self.next_ms = max(self.next_ms + self.every_ms, now_ms)
-        self.gathering = Gathering(self.number, token, now_ms + GATHER_MS, others)
+        self.gathering = Gathering(self.number, token, now_ms + GATHER_MS, connected, all)
         self.gathering.counts[self.name] = dict(own)
         return True
 
@@ -101,7 +105,7 @@
         for counts in done.counts.values():
             for key, value in counts.items():
                 totals[key] = totals.get(key, 0) + value
-        missing = sorted(done.others - set(done.counts))
+        missing = sorted(done.all - set(done.counts))
         return Export(self.fleet, self.task, self.name, done.token, done.number, totals, done.counts, missing)
 
     def due_ms(self, now_ms: float) -> float:
--- a/grebestack/mesh/node.py
+++ b/grebestack/mesh/node.py
@@ -16,6 +16,7 @@
 from grebestack.fleet.lease import Terms
 from grebestack.fleet.member import Member
 from grebestack.fleet.messages import VERSION, Hello, Message, Word, encode, record
+from grebestack.fleet.register import Change, Phase, Value
 from grebestack.fleet.shelf import Shelf
 from grebestack.mesh.link import Dialler, Link
 from grebestack.mesh.store import Files, Store
@@ -39,6 +40,10 @@
     terms: Terms = field(default_factory=Terms)
 
 
+def _nothing() -> None:
+    return
+
+
 def monotonic_ms() -> float:
     """The time, in milliseconds."""
     return time.monotonic() * 1000.0
@@ -55,6 +60,7 @@
         self.random = Random(int.from_bytes(os.urandom(8), "big"))
         self.store = Store(loop, settings.folder, self._synced, self._failed, files)
         self.words: dict[str, Callable[[str, bytes], None]] = {}  # by task: what another member's task says
+        self.turned: dict[str, Callable[[], None]] = {}  # by task: called soon after its lease came or went
         self.open: dict[str, Link] = {}
         self.diallers: dict[str, Dialler] = {}
         self.server: asyncio.Server | None = None
@@ -134,6 +140,18 @@
         self.member.want(self.clock(), task)
         self._run([])
 
+    def change(self, register: str, change: Change, ended: Callable[[bool, Value], None]) -> None:
+        """Change a register, or read it; `ended` tells whether the value is known to be in force now."""
+        if register in self.member.askings or not self.member.linked_enough():
+            ended(False, None)
+            return
+
+        def told(at_ms: float, phase: Phase, before: Value, after: Value) -> list[Action]:
+            ended(phase is Phase.CHOSEN, after)
+            return []
+
+        self._run(self.member.change(self.clock(), register, change, told))
+
     def say(self, to: str, task: str, body: bytes) -> None:
         """Say something to a task of another member; what can't leave is lost."""
         if to in self.open:
@@ -240,6 +258,8 @@
             elif isinstance(action, Told):
                 level = logging.DEBUG if action.detail else logging.INFO
                 log.log(level, action.event, extra={"kv": action.kv})
+                if action.event.startswith("lease_") and not action.detail and not self.stopped:
+                    self.loop.call_soon(self.turned.get(action.kv["task"], _nothing))
             elif isinstance(action, Reborn):
                 self._anew()
             else:
--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -116,6 +116,9 @@
     term_s: float = 4.0
     drift: float = 0.01
     guard_ms: float = 50.0
+    return_s: float = 60.0  # a member that is restarted is back within so long
+    pause_s: float = 5.0  # between two that are restarted
+    share_servers: bool = False  # one member reads the source of servers, the others take it from there
     tallies: TalliesConfig | None = None
 
 
@@ -292,6 +295,8 @@
     if len(set(addresses.values())) < len(addresses):
         raise ValueError("[fleet.members] must have an address of its own for each")
     term_s = _number(raw, "term_s", 4.0, 0.5, 3600.0)
+    if not isinstance(raw.get("share_servers", False), bool):
+        raise ValueError(f"[fleet] share_servers must be true or false, not {raw['share_servers']!r}")
     tallies = _table(raw, "tallies", "collector path every_s", within="fleet")
     path = _word(tallies, "path", "/")
     if not path.startswith("/") or not path.isascii() or not path.isprintable() or " " in path:
@@ -299,7 +304,8 @@
     return FleetConfig(
         _word(raw, "name", "fleet"), listen, {n: a for n, a in addresses.items() if n != own},
         os.path.join(folder, _word(raw, "folder", "fleet")), term_s, _number(raw, "drift", 0.01, 0.0, 0.2),
-        _number(raw, "guard_ms", 50.0, 0.0, term_s * 300.0),
+        _number(raw, "guard_ms", 50.0, 0.0, term_s * 300.0), _number(raw, "return_s", 60.0, 1.0, 3600.0),
+        _number(raw, "pause_s", 5.0, 0.0, 3600.0), raw.get("share_servers", False),
         TalliesConfig(
             address_of(str(tallies["collector"])), path, _number(tallies, "every_s", 5.0, 0.05, 86_400.0)
         ) if tallies else None,
@@ -394,7 +400,10 @@
         jobs = _table(raw, "jobs", "wanted_s most_waiting most_conditions ahead ripe classes")
         names = " ".join(field.name for field in fields(MembershipConfig))
         membership = _membership(_table(raw, "membership", names))
-        fleet = _table(raw, "fleet", "name listen folder members term_s drift guard_ms tallies")
+        fleet = _table(
+            raw, "fleet",
+            "name listen folder members term_s drift guard_ms return_s pause_s share_servers tallies",
+        )
         name = str(raw.get("name", "grebestack"))
         options = raw["settings"]
         settings = settings_of(options)
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -33,6 +33,7 @@
     from grebestack.consul.source import ConsulSource
     from grebestack.jobs.service import JobService
     from grebestack.program.fleet import Fleet
+    from grebestack.program.shared import Source
     from grebestack.program.upgrade import Upgrade
     from grebestack.protocol.roster import Roster
 
@@ -90,9 +91,13 @@
             from grebestack.program import appliance
 
             self.roster = appliance.roster(config.membership, self.engine)
+        self.fleet: Fleet | None = None
+        if config.fleet is not None:
+            from grebestack.program import fleet  # only here: the platform's dispatchers share nothing
+
+            self.fleet = fleet.Fleet(self, config.fleet)
         self.watch = self._source(config)
         self.jobs: JobService | None = None
-        self.fleet: Fleet | None = None
         self.life = Life()
         self.ending = self.stopped = False
         self.next_apply: asyncio.TimerHandle | None = None
@@ -142,7 +147,7 @@
         """Monotonic time and the loop's timers."""
         return self.engine.clock
 
-    def _source(self, config: Config, follows: Watch | None = None) -> Watch | ConsulSource | None:
+    def _source(self, config: Config, follows: Watch | None = None) -> Source | None:
         source = config.servers.source
         servers = [self.reader.server(raw) for raw in config.servers.entries] if source == "list" else []
         listings: list[Listing] = [self.table]
@@ -153,15 +158,22 @@
             if config.servers.consul is not None:
                 names = [f"consul {service}" for service in config.servers.consul.services]
             listings = [*self.roster.sources(names, stale_s * 1000.0, config.servers.snapshot)]
+        if source == "list":
+            self.loop.call_soon(listings[0].update, ListKind.FULL, servers)
+            return None
+        if self.fleet is not None and self.fleet.config.share_servers:
+            return self.fleet.share(listings, lambda tapped: self._reading(config, tapped, None))
+        return self._reading(config, listings, follows)
+
+    def _reading(
+        self, config: Config, listings: Sequence[Listing], follows: Watch | None
+    ) -> Watch | ConsulSource:
         if config.servers.consul is not None:
             from grebestack.program import appliance
 
             pools = Pools(self.loop, 16, 2.0, 60.0, most_body=64 * 1024 * 1024)
             clock = self.engine.clock
             return appliance.consul(config.servers.consul, pools, clock, config.options, listings)
-        if source == "list":
-            self.loop.call_soon(listings[0].update, ListKind.FULL, servers)
-            return None
         siblings = config.settings.siblings
         return Watch(self.loop, config.discovery, self.reader, listings[0], follows, siblings)
 
@@ -198,13 +210,10 @@
             await self._start_drmaa(self.config.drmaa)
         if self.upgrade is None or self.upgrade.pact.elder is None:
             await self.listen()
+        if self.fleet is not None:
+            await self.fleet.start()
         if self.config.control is not None:
             await self._open_door(self.config.control)
-        if self.config.fleet is not None:
-            from grebestack.program import fleet  # only here: the platform's dispatchers share nothing
-
-            self.fleet = fleet.Fleet(self, self.config.fleet)
-            await self.fleet.start()
         self._when_listed(time.monotonic() + LIST_WAIT_S)
         self._stats()
         self._tally()
--- a/grebestack/program/fleet.py
+++ b/grebestack/program/fleet.py
@@ -3,20 +3,23 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from grebestack.control.calls import Answer
 from grebestack.fleet.lease import Terms
 from grebestack.fleet.messages import Began, Born, Record, Roll, encode
+from grebestack.fleet.pacing import Pace
 from grebestack.fleet.tallies import Ask, Counts, Export, Tallies, word
 from grebestack.mesh import store
 from grebestack.mesh.node import Node, NodeSettings, monotonic_ms
 from grebestack.mesh.store import Files, FolderTakenError
+from grebestack.program import paced, shared
 from grebestack.program.config import Config, ConfigError, FleetConfig, StartError, TalliesConfig
-from grebestack.routing.interfaces import Clock
+from grebestack.routing.interfaces import Clock, Listing, Timer
 from grebestack.transport.client import Pools, Response
 
 if TYPE_CHECKING:
@@ -24,7 +27,7 @@
 
 log = logging.getLogger(__name__)
 FOUNDING = "founding"  # the incarnation of those that founded a fleet
-LOOK_MS = 50.0  # a task's shell looks so often whether it holds the lease
+LOOK_MS = 1000.0  # a task's shell looks so often; it is also told when its lease comes or goes
 EXPORT_S = 2.0  # an export that the collector has not answered by then is given up
 # Seams for tests, which no operator's file can reach: the files of the store, the clock, the exports' tasks.
 FILES: Callable[[], Files] = Files
@@ -93,7 +96,8 @@
         self.tallies = Tallies(s.fleet, task, s.name, config.every_s * 1000.0)
         self.post: Post | None = None
         self.failed = ""
-        node.words[task] = self.said
+        self.timer: Timer | None = None
+        node.words[task], node.turned[task] = self.said, self.look
         self.look()
 
     def said(self, name: str, body: bytes) -> None:
@@ -112,17 +116,19 @@
 
     def look(self) -> None:
         """Do what is due, and come again."""
+        if self.timer is not None:
+            self.timer.cancel()
         if self.node.stopped:
             return
         now, task = self.clock.now_ms(), self.tallies.task
-        others = frozenset(self.node.settings.members) & self.node.member.roll.names()
-        if self.tallies.tick(now, self.node.token(task), self.counts(), others):
+        names, others = self.node.member.roll.names(), frozenset(self.node.open)
+        if self.tallies.tick(now, self.node.token(task), self.counts(), others & names, names):
             ask = msgspec.msgpack.encode(Ask(self.tallies.number))
             for name in others:
                 self.node.say(name, task, ask)
         self._export()
         due = self.tallies.due_ms(now)
-        self.clock.call_at(now + min(max(1.0, due - now), LOOK_MS), self.look)
+        self.timer = self.clock.call_at(now + min(max(1.0, due - now), LOOK_MS), self.look)
 
     def _export(self) -> None:
         if self.post is not None:
@@ -156,7 +162,8 @@
     def __init__(self, dispatcher: Dispatcher, config: FleetConfig) -> None:
         self.dispatcher, self.config = dispatcher, config
         terms = Terms(config.term_s * 1000.0, config.drift, config.guard_ms)
-        tasks = EXPORTS if config.tallies is not None else ()
+        exports = EXPORTS if config.tallies is not None else ()
+        tasks = (*exports, paced.TASK, *((shared.TASK,) if config.share_servers else ()))
         settings = NodeSettings(
             dispatcher.config.name, config.name, config.listen, config.members, config.folder, tasks, terms
         )
@@ -164,7 +171,8 @@
             self.node = Node(dispatcher.loop, settings, FILES(), CLOCK)
         except FolderTakenError as error:
             raise StartError(str(error)) from error
-        self.tasks = tasks
+        self.tasks, self.exports = tasks, exports
+        self.paced: paced.Paced | None = None
 
     async def start(self) -> None:
         """Take members' connections, and begin the tasks."""
@@ -172,14 +180,22 @@
         server = await loop.create_server(self.node.accept, *self.config.listen, backlog=32)
         self.node.listen(server)
         log.info("fleet_listening", extra={"kv": {"address": ":".join(map(str, self.config.listen))}})
+        pace = Pace(self.config.return_s * 1000.0, self.config.pause_s * 1000.0)
+        self.paced = paced.Paced(self.dispatcher, self.node, pace)
         if self.config.tallies is not None:
             engine = self.dispatcher.engine
             pools = Pools(loop, 4, 1.0, 30.0)
-            for task in self.tasks:
+            for task in self.exports:
                 Exporter(
                     self.node, task, self.config.tallies, pools, engine.clock, lambda: engine.counts
                 )
 
+    def share(
+        self, listings: Sequence[Listing], make: Callable[[Sequence[Listing]], shared.Source]
+    ) -> shared.SharedSource:
+        """A source that one member reads for all."""
+        return shared.SharedSource(self.node, self.dispatcher.engine.clock, listings, make)
+
     def leave(self) -> None:
         """A stop has begun: what this member holds is given back at once, so that others need not wait."""
         for task in self.tasks:
@@ -189,10 +205,24 @@
         """End."""
         self.node.stop()
 
+    def drop(self, name: str) -> Answer:
+        """Take a member out of the set: the others agree on a set without it, which `shown` tells."""
+        member = self.node.member
+        if self.node.open.get(name) is not None or name == self.node.settings.name:
+            return Answer(False, f"{name} is connected: stop it first, or it is admitted again")
+        why = member.drop(name)
+        if not why and not member.voter.votes:
+            why = f"{self.node.settings.name} itself {member.voter.standing()}"
+        done = f"{name} leaves the set; `fleet` shows the epoch after {member.roll.epoch}"
+        return Answer(not why, why or done)
+
     def shown(self) -> str:
         """The members, for one line."""
         member = self.node.member
-        said = "; ".join(f"{name}: {state}" for name, state in member.describe(self.node.clock()).items())
+        said = "; ".join(
+            f"{name}: {state}" + ("" if name in member.roll.names() else " (not in the set)")
+            for name, state in member.describe(self.node.clock()).items()
+        )
         quorum = "heard" if member.quorum(self.node.clock()) else "not heard"
         return f"epoch {member.roll.epoch}, a majority is {quorum}; {said}"
 
@@ -210,7 +240,9 @@
                 parts.append(f"{task}: {tenure.seen.holder}, token {tenure.seen.token}, seen {ago:.1f} s ago")
             else:
                 parts.append(f"{task}: {'nobody' if tenure.known else 'not known'}")
-        return "; ".join(parts) or "no tasks"
+        if self.paced is not None:
+            parts.append(self.paced.shown())
+        return "; ".join(parts)
 
 
 def form(config: Config) -> str:
--- a/grebestack/program/operations.py
+++ b/grebestack/program/operations.py
@@ -37,19 +37,25 @@
 
     def call(self, call: Call, reply: Reply) -> None:
         """Carry out a call and reply."""
-        reply(self.carry_out(call))
+        fleet = self.dispatcher.fleet
+        if call.verb in (Verb.RESTART, Verb.HALT) and fleet is not None and fleet.paced is not None:
+            (fleet.paced.begin if call.verb is Verb.RESTART else fleet.paced.halt)(reply)
+        else:
+            reply(self.carry_out(call))
 
     def carry_out(self, call: Call) -> Answer:
         """What a call comes to; a SUCCESS holds when this returns."""
         if call.verb is Verb.HEALTH:
             return self._health()
-        if call.verb.named:
-            return self._cordon(call.server, call.verb is Verb.CORDON)
-        if call.verb in (Verb.FLEET, Verb.LEASES):
+        if call.verb in (Verb.FLEET, Verb.LEASES, Verb.RESTART, Verb.HALT, Verb.DROP):
             fleet = self.dispatcher.fleet
             if fleet is None:
                 return Answer(False, "this dispatcher is a member of no fleet")
+            if call.verb is Verb.DROP:
+                return fleet.drop(call.server)
             return Answer(True, fleet.shown() if call.verb is Verb.FLEET else fleet.leases())
+        if call.verb.named:
+            return self._cordon(call.server, call.verb is Verb.CORDON)
         life, now = self.dispatcher.life, self.dispatcher.clock.now_ms()
         if call.verb is Verb.RESUME and not life.resume(now):
             return Answer(False, "stopping: a stop can't be taken back")
--- /dev/null
+++ b/grebestack/program/paced.py
@@ -0,0 +1,159 @@
+"""The shell of a paced restart: tells the others how this member is, and does what the plan says."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from grebestack.control.calls import Answer
+from grebestack.fleet.messages import Plan
+from grebestack.fleet.pacing import (
+    GOES_ON,
+    REGISTER,
+    Ask,
+    Go,
+    HandOver,
+    Known,
+    Pace,
+    Pacing,
+    State,
+    beginning,
+    said,
+    shown,
+    stopping,
+)
+from grebestack.fleet.register import Value
+from grebestack.mesh.node import Node
+from grebestack.program.life import LED_MS
+
+if TYPE_CHECKING:
+    from grebestack.program.dispatcher import Dispatcher
+    from grebestack.routing.interfaces import Timer
+
+log = logging.getLogger(__name__)
+TASK = "restart"
+LOOK_MS, ACT_MS = 1000.0, 100.0  # without the lease, and with it
+LEAVE_MS = 400.0  # after clients were led out, before the stop
+
+
+class Paced:
+    """One member of a fleet that is restarted one after the other."""
+
+    def __init__(self, dispatcher: Dispatcher, node: Node, pace: Pace) -> None:
+        self.dispatcher, self.node = dispatcher, node
+        self.clock = dispatcher.engine.clock
+        self.pacing = Pacing(node.settings.name, pace, self.clock.now_ms())
+        self.known: dict[str, Known] = {}
+        self.tell_ms = 0.0
+        self.highest = 0  # token that has told this member to go
+        self.going = False
+        self.wait_ms = 0.0
+        self.timer: Timer | None = None
+        node.words[TASK], node.turned[TASK] = self.said, self.look
+        self.look()
+
+    def look(self) -> None:
+        """Do what is due, and come again."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.node.stopped:
+            return
+        now = self.clock.now_ms()
+        mine = State(self.node.member.life, self.dispatcher.life.ready)
+        self.known[self.node.settings.name] = Known(mine, now)
+        if now >= self.tell_ms:
+            self.tell_ms = now + LOOK_MS
+            for name in list(self.node.open):
+                self.node.say(name, TASK, msgspec.msgpack.encode(mine))
+        self._line(now)
+        token = self.node.token(TASK)
+        for act in self.pacing.tick(now, token, self.known):
+            if isinstance(act, Ask):
+                self.node.change(REGISTER, act.change, partial(self._asked, token))
+            elif isinstance(act, HandOver):
+                log.info("fleet_restart", extra={"kv": {"hands_over_to": act.to}})
+                self.wait_ms = now + 2.0 * self.node.settings.terms.term_ms
+                self.node.release(TASK, act.to)
+            elif self.node.token(TASK) == token:
+                self.node.say(act.name, TASK, msgspec.msgpack.encode(act.go))
+        self.timer = self.clock.call_at(now + (LOOK_MS if token is None else ACT_MS), self.look)
+
+    def _plan(self) -> Plan | None:
+        """The plan as this member's disk has it."""
+        slot = self.node.member.voter.shelf.slots.get(REGISTER)
+        return slot.value if slot is not None and isinstance(slot.value, Plan) else None
+
+    def _line(self, now: float) -> None:
+        """Stand in line for the task while there is something to do: a lease costs all members syncs."""
+        plan, wanted = self._plan(), self.node.member.tenures[TASK].wanted
+        goes_on = plan is not None and plan.state == GOES_ON
+        if wanted and not goes_on:
+            self.node.release(TASK)
+        elif goes_on and not wanted and not self.going and now >= self.wait_ms:
+            self.node.want(TASK)
+
+    def _asked(self, token: int | None, known: bool, value: Value) -> None:
+        former = self.pacing.plan
+        self.pacing.asked(self.clock.now_ms(), token, value, known)
+        if known and isinstance(value, Plan) and value != former:
+            log.info("fleet_restart", extra={"kv": {"plan": shown(value), "step": value.step}})
+
+    def said(self, name: str, body: bytes) -> None:
+        """Another member tells how it is, or that it is this one's turn."""
+        try:
+            item = said(body)
+        except msgspec.DecodeError:
+            log.warning("fleet_word_unknown", extra={"kv": {"peer": name, "task": TASK}})
+            return
+        if isinstance(item, State):
+            self.known[name] = Known(item, self.clock.now_ms())
+        else:
+            self._go(name, item)
+
+    def _go(self, name: str, go: Go) -> None:
+        if go.token < self.highest or go.life != self.node.member.life or self.going:
+            return
+        self.highest, self.going = go.token, True
+        log.info("fleet_restart", extra={"kv": {"told_by": name, "number": go.number}})
+        now = self.clock.now_ms()
+        self.dispatcher.life.quiesce(now)
+        self.dispatcher.apply()
+        self.clock.call_at(now + LED_MS + LEAVE_MS, self.dispatcher.stop)
+
+    # The door.
+
+    def begin(self, reply: Callable[[Answer], None]) -> None:
+        """An operator wants the fleet restarted."""
+        names = tuple(sorted(self.node.member.roll.names()))
+        if len(names) < 2:
+            reply(Answer(False, "a restart one after the other needs two members at least"))
+            return
+
+        def ended(known: bool, value: Value) -> None:
+            if not known:
+                reply(Answer(False, "no majority has answered; look with `fleet`, then call again"))
+            elif isinstance(value, Plan):
+                mine = value.by == self.node.settings.name and not value.done and not value.step
+                reply(Answer(mine, shown(value)))
+
+        self.node.change(REGISTER, beginning(self.node.settings.name, names), ended)
+
+    def halt(self, reply: Callable[[Answer], None]) -> None:
+        """An operator wants it to go no further; a member that has been told restarts all the same."""
+
+        def ended(known: bool, value: Value) -> None:
+            if not known:
+                reply(Answer(False, "no majority has answered; look with `fleet`, then call again"))
+                return
+            plan = value if isinstance(value, Plan) else None
+            reply(Answer(plan is not None and plan.state != GOES_ON, shown(plan)))
+
+        self.node.change(REGISTER, stopping(f"halted at {self.node.settings.name}"), ended)
+
+    def shown(self) -> str:
+        """The plan, in words."""
+        return shown(self._plan())
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -140,6 +140,18 @@
                     await asyncio.sleep(0.005)
         raise ConnectionResetError
 
+    def close(self) -> None:
+        """End all links."""
+
+        async def end() -> None:
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.run(end())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+
     def reset(self, a: str, b: str) -> None:
         """Reset the link's connections."""
         key = (a, b) if (a, b) in self.writers else (b, a)
@@ -158,6 +170,7 @@
     name: str
     folder: Path
     door: tuple[str, int]
+    front: int
     rate: float  # of its clock
     process: subprocess.Popen[bytes] | None = None
     copy: Path | None = None
@@ -167,7 +180,9 @@
     """So many members, from one folder."""
 
     def __init__(
-        self, folder: Path, count: int, rates: Iterable[float] = (), term_s: float = 2.0, every_s: float = 0.1
+        self, folder: Path, count: int, rates: Iterable[float] = (), term_s: float = 2.0,
+        every_s: float = 0.1, servers: str | dict[str, str] = 'source = "list"\nlist = []\n', more: str = "",
+        fronts: tuple[int, ...] = (),
     ) -> None:
         self.folder, self.collector, self.proxy = folder, Collector(), Proxy()
         self.names = [f"m{n}" for n in range(count)]
@@ -179,15 +194,17 @@
                 seen[a][b], seen[b][a] = self.proxy.link(a, b, ports[b]), ports[a]
         self.members: dict[str, Process] = {}
         for n, name in enumerate(self.names):
-            door = ("127.0.0.1", free_port())
-            self.members[name] = Process(name, folder / name, door, drift[n])
+            door, front = ("127.0.0.1", free_port()), fronts[n] if fronts else free_port()
+            self.members[name] = Process(name, folder / name, door, front, drift[n])
+            source = servers if isinstance(servers, str) else servers[name]
             (folder / name).mkdir()
             others = "".join(f'{b} = "127.0.0.1:{port}"\n' for b, port in seen[name].items())
             (folder / f"{name}.toml").write_text(
-                f'name = "{name}"\nlisten = "127.0.0.1:{free_port()}"\ncontrol = "127.0.0.1:{door[1]}"\n'
-                f'[servers]\nsource = "list"\nlist = []\n[fleet]\nname = "rig"\nfolder = "{name}/disk"\n'
-                f'term_s = {term_s}\ndrift = 0.01\n[fleet.members]\n{name} = "127.0.0.1:{ports[name]}"\n'
-                f'{others}[fleet.tallies]\ncollector = "127.0.0.1:{self.collector.address[1]}"\n'
+                f'name = "{name}"\nlisten = "127.0.0.1:{front}"\ncontrol = "127.0.0.1:{door[1]}"\n'
+                f'platform = true\n[servers]\n{source}[fleet]\nname = "rig"\nfolder = "{name}/disk"\n'
+                f"term_s = {term_s}\ndrift = 0.01\n{more}[fleet.members]\n"
+                f'{name} = "127.0.0.1:{ports[name]}"\n{others}[fleet.tallies]\n'
+                f'collector = "127.0.0.1:{self.collector.address[1]}"\n'
                 f"every_s = {every_s}\n{APPLIANCE_SETTINGS}"
             )
             subprocess.run(
@@ -237,7 +254,7 @@
                 member.process.kill()
                 member.process.wait(20)
         self.collector.close()
-        self.proxy.loop.call_soon_threadsafe(self.proxy.loop.stop)
+        self.proxy.close()
 
     # The history.
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import signal
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -106,6 +107,17 @@
     settle(cluster)
 
 
+def test_a_member_that_is_gone_for_good_is_dropped_by_the_others(cluster: Cluster) -> None:
+    assert "m0 is connected" in cluster.shown("m1", "drop m0")
+    assert "m9 is no member; members are m0, m1, m2" in cluster.shown("m1", "drop m9")
+    cluster.signal("m0", signal.SIGKILL)
+    wait_until(lambda: cluster.shown("m1", "drop m0").startswith("SUCCESS"), 60)
+    wait_until(lambda: all("(not in the set)" in cluster.shown(name) for name in ("m1", "m2")), 60)
+    cluster.start("m0")  # its file names it, and its folder is of a former epoch: it is admitted anew
+    wait_until(lambda: not any("(not in the set)" in cluster.shown(name) for name in cluster.names), 60)
+    settle(cluster)
+
+
 def test_the_same_seed_draws_the_same_schedule_and_all_kinds_come() -> None:
     names = [f"m{n}" for n in range(5)]
     assert schedule(3, names, 100.0) == schedule(3, names, 100.0) != schedule(4, names, 100.0)
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -225,7 +225,7 @@
 def test_where_a_clock_breaks_the_bound_two_act_and_the_fence_refuses_the_former() -> None:
     # The checker is shown to see an overlap, and the fence to hold where clocks can't be trusted.
     seen = refused = 0
-    for seed in range(3):
+    for seed in range(12):
         drawn = Drawn(seed, (1.0, 4.0, 1.0))
         for step in range(40):
             drawn.run(400.0 * (step + 1))
