--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -168,7 +168,7 @@
 
     def _restarted(self, view: WorkerView, since_ms: float | None) -> None:
         view.ceiling, view.strikes, view.full_until, view.breaks, view.free = 1.0, 0, 0.0, 0, {}
-        view.pace, view.failing, view.trials, view.told_ms, view.good_ms = 1.0, {}, 0, 0.0, 0.0
+        view.pace, view.failing, view.trials, view.told_ms, view.good_ms, view.kept = 1.0, {}, 0, 0.0, 0.0, {}
         view.warm_at = 0.0 if since_ms is None else min(since_ms, self.now) + self.settings.warm_within_ms
         if view.warm_at > self.now:
             self._cold_wait(view, 1.0, sum(self.learned.run_ms) / len(self.learned.run_ms))
@@ -294,7 +294,7 @@
         rule = self.rules[block.invalidate]
         walk: Iterable[WorkerView] = order
         if only:  # the default tag walks by keys and leaves a single worker to requests that have one
-            walk = [only] if only in order and (block.strategy != "platform" or request.asked.key) else []
+            walk = [only] if only in order and (block.strategy != "platform" or request.keyed) else []
         elif block.strategy == "platform":
             # From hash(key, else class) on; salted, lest all dispatchers start at the same worker.
             what = request.job_class.name if request.asked.key is None else request.asked.key
@@ -442,7 +442,7 @@
     def _drain_held(self, freed: WorkerView | None = None) -> None:
         """Try the first few held requests of each level, or those that earn most, at one worker or at all."""
         heads = [r for level in self.held.levels for r in self.held.heads(level, SCAN_HEADS)]
-        if any(r.asked.cost_ms or r.asked.key for r in heads):  # they differ in more than their levels
+        if any(r.asked.cost_ms or r.keyed for r in heads):  # they differ in more than their levels
             heads = [r for level in self.held.levels for r in self.held.heads(level, LOOK)]
             heads = sorted(heads, key=lambda r: (not r.level[3], -self._gain(r, freed)))[: 2 * SCAN_HEADS]
         for request in heads:
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -332,6 +332,11 @@
     closed: bool = False
     held: bool = False
 
+    @property
+    def keyed(self) -> bool:
+        """Whether it needs something that a worker may keep; 0 is a key like any other."""
+        return self.asked.key is not None
+
     def work(self, settings: Settings) -> float:
         """What its class's worth is counted by: the hinted milliseconds of work, or 1 for each request."""
         return (settings.worth_by_work and self.asked.cost_ms) or 1.0
--- a/grebestack/drmaa/console.py
+++ b/grebestack/drmaa/console.py
@@ -23,12 +23,24 @@
         """The operator accepts what a source takes away; KeyError if there is no such source."""
 
 
+class Fleet(Protocol):
+    """The dispatchers that this one agrees with."""
+
+    def members(self) -> dict[str, Any]:
+        """The set in force, and each member with its state."""
+
+    def tasks_held(self) -> dict[str, Any]:
+        """Each task with its holder and token."""
+
+
 class Console:
     """Answers the console's requests, which come to the DRMAA front's address under /console/."""
 
-    def __init__(self, name: str, engine: Engine, jobs: JobService, roster: Members | None) -> None:
+    def __init__(
+        self, name: str, engine: Engine, jobs: JobService, roster: Members | None, fleet: Fleet | None = None
+    ) -> None:
         self.name, self.engine, self.jobs, self.store = name, engine, jobs, jobs.store
-        self.roster = roster
+        self.roster, self.fleet = roster, fleet
         self.started = time.time()
 
     def serve(self, method: str, what: str, raw: Any) -> Any:
@@ -42,6 +54,10 @@
                 return self._drain(raw)
             case ("GET", "membership") if self.roster is not None:
                 return self.roster.shown()
+            case ("GET", "fleet") if self.fleet is not None:
+                return self.fleet.members()
+            case ("GET", "leases") if self.fleet is not None:
+                return self.fleet.tasks_held()
             case ("POST", "accept") if self.roster is not None and isinstance(raw, dict):
                 self.roster.accept(str(raw.get("source")))
                 return {"source": raw.get("source")}
--- a/grebestack/mesh/node.py
+++ b/grebestack/mesh/node.py
@@ -23,6 +23,7 @@
 
 log = logging.getLogger(__name__)
 Address = tuple[str, int]
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 DIAL_S, DIAL_MOST_S = 0.1, 0.6
 ANEW_S, ANEW_MOST_S = 1.0, 30.0  # a disk that can't be begun anew is tried again after this
 
@@ -45,8 +46,8 @@
 
 
 def monotonic_ms() -> float:
-    """The time, in milliseconds."""
-    return time.monotonic() * 1000.0
+    """The time in milliseconds, while the machine sleeps too: a holder that wakes finds its term over."""
+    return time.clock_gettime(_CLOCK) * 1000.0
 
 
 class Node:
--- a/grebestack/mesh/store.py
+++ b/grebestack/mesh/store.py
@@ -18,6 +18,7 @@
 
 LONG = 1 << 20  # bytes of a file after which it is begun anew
 PREFIX, SUFFIX, ASIDE = "registers-", ".log", "doubted-"
+CLOSE_S = 0.3  # a disk that hangs holds up no stop
 KEPT_ASIDE = 4  # files put aside that are kept for whoever looks into it
 
 
@@ -161,7 +162,7 @@
         """Write what is queued, then let go of the folder."""
         self.queue.put(None)
         if self.thread.is_alive():
-            self.thread.join(2.0)
+            self.thread.join(CLOSE_S)
         for fd in (self.fd, self.lock):
             if fd >= 0:
                 os.close(fd)
--- a/grebestack/program/appliance.py
+++ b/grebestack/program/appliance.py
@@ -11,7 +11,7 @@
 from grebestack.consul.agents import AgentSettings
 from grebestack.consul.entries import Entries, Reading, networks_of
 from grebestack.consul.source import Asking, ConsulSource, ServiceWatch, Token
-from grebestack.drmaa.console import Console
+from grebestack.drmaa.console import Console, Fleet
 from grebestack.drmaa.front import DrmaaFront
 from grebestack.drmaa.template import Templates
 from grebestack.jobs.records import JobLimits
@@ -66,7 +66,8 @@
 
 
 def start(
-    engine: Engine, runners: Runners, config: Config, drmaa: DrmaaConfig, roster: Roster | None
+    engine: Engine, runners: Runners, config: Config, drmaa: DrmaaConfig, roster: Roster | None,
+    fleet: Fleet | None = None,
 ) -> tuple[JobService, DrmaaFront]:
     """Open the store and take up its jobs, before any call-back can come. StartError: it can't be used."""
     jobs, classes = drmaa.jobs, config.settings.classes
@@ -83,7 +84,7 @@
             ahead=jobs.ahead, ripe=jobs.ripe,
         )
         service = JobService(engine, runners, config.settings, store, templates, limits)
-        console = Console(config.name, engine, service, roster)
+        console = Console(config.name, engine, service, roster, fleet)
         front = DrmaaFront(service, templates, engine.clock, config.name, console.serve)
         service.restore()
     except (sqlite3.Error, StoreError) as error:
--- a/grebestack/program/console.py
+++ b/grebestack/program/console.py
@@ -145,6 +145,14 @@
         sources = table(shown["sources"], ("source", "servers", "heard_s_ago", "stale", "held_back", "why"))
         believed = table(shown["servers"], ("server", "state", "for_s", "sources", "disagree", "reason"))
         return shown, f"{sources}\n\n{believed}", DONE
+    if options.command == "fleet":
+        known = remote.ask("GET", f"/console/{'leases' if options.what else 'fleet'}")
+        if options.what:
+            tasks = table(known["tasks"], ("task", "holder", "token", "more_s", "seen_s_ago"))
+            return known, f"{tasks}\n\n{known['restart']}", DONE
+        rows = table(known["members"], ("member", "state", "in_set"))
+        heard = "heard" if known["majority_heard"] else "not heard"
+        return known, f"epoch {known['epoch']}, a majority is {heard}\n\n{rows}", DONE
     if options.command == "accept":
         answer = remote.ask("POST", "/console/accept", {"source": options.source})
         return answer, f"{answer['source']}  accepted", DONE
@@ -173,6 +181,8 @@
     commands.add_parser("status", help="how the dispatcher is")
     commands.add_parser("servers", help="the server table")
     commands.add_parser("membership", help="the sources of servers, and what is believed of each and why")
+    fleet = commands.add_parser("fleet", help="the dispatchers that this one agrees with, or their tasks")
+    fleet.add_argument("what", nargs="?", choices=("leases",), help="who holds which task")
     accept = commands.add_parser("accept", help="accept what a source takes away and what is held back")
     accept.add_argument("source", help="as membership names it")
     jobs = commands.add_parser("jobs", help="the newest jobs")
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -180,7 +180,9 @@
     async def _start_drmaa(self, config: DrmaaConfig) -> None:
         from grebestack.program import appliance  # only here: the platform's memory has no room for it
 
-        self.jobs, front = appliance.start(self.engine, self.runners, self.config, config, self.roster)
+        self.jobs, front = appliance.start(
+            self.engine, self.runners, self.config, config, self.roster, self.fleet
+        )
         acceptor = Acceptor(front, self.acceptor.most, config.most_body)
         self._sweep(acceptor)
         await self.loop.create_server(acceptor, *config.listen, backlog=512)
--- a/grebestack/program/fleet.py
+++ b/grebestack/program/fleet.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable, Mapping, Sequence
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -109,7 +109,7 @@
             return
         if isinstance(item, Counts):
             self.tallies.heard(name, item)
-            self._export()
+            self.look()
         else:
             counts = Counts(item.number, self.node.member.life, dict(self.counts()))
             self.node.say(name, self.tallies.task, msgspec.msgpack.encode(counts))
@@ -154,6 +154,7 @@
             self.failed = why
             kv = {"task": post.export.task, "token": post.export.token, "why": why or "well again"}
             log.info("fleet_export", extra={"kv": kv})
+        self.look()
 
 
 class Fleet:
@@ -216,33 +217,57 @@
         done = f"{name} leaves the set; `fleet` shows the epoch after {member.roll.epoch}"
         return Answer(not why, why or done)
 
+    def members(self) -> dict[str, Any]:
+        """The set in force and all members, as this one sees them."""
+        member, now = self.node.member, self.node.clock()
+        names = member.roll.names()
+        return {
+            "epoch": member.roll.epoch, "majority_heard": member.quorum(now),
+            "members": [
+                {"member": name, "state": state, "in_set": name in names}
+                for name, state in member.describe(now).items()
+            ],
+        }
+
+    def tasks_held(self) -> dict[str, Any]:
+        """The tasks and their holders: what this member knows, which may be old without a majority."""
+        now, rows = self.node.clock(), list[dict[str, Any]]()
+        for task, tenure in sorted(self.node.member.tenures.items()):
+            token = tenure.token(now)
+            row: dict[str, Any] = dict.fromkeys(("task", "holder", "token", "more_s", "seen_s_ago"))
+            row["task"] = task
+            if token is not None:
+                left_s = (tenure.until_ms - now) / 1000.0
+                row |= {"holder": self.node.settings.name, "token": token, "more_s": round(left_s, 1)}
+            elif tenure.known:
+                ago_s = (now - tenure.seen_ms) / 1000.0
+                row |= {"holder": tenure.seen.holder or "nobody", "token": tenure.seen.token}
+                row |= {"seen_s_ago": round(ago_s, 1)}
+            rows.append(row)
+        return {"tasks": rows, "restart": self.paced.shown() if self.paced is not None else None}
+
     def shown(self) -> str:
         """The members, for one line."""
-        member = self.node.member
+        known = self.members()
         said = "; ".join(
-            f"{name}: {state}" + ("" if name in member.roll.names() else " (not in the set)")
-            for name, state in member.describe(self.node.clock()).items()
+            f"{m['member']}: {m['state']}" + ("" if m["in_set"] else " (not in the set)")
+            for m in known["members"]
         )
-        quorum = "heard" if member.quorum(self.node.clock()) else "not heard"
-        return f"epoch {member.roll.epoch}, a majority is {quorum}; {said}"
+        quorum = "heard" if known["majority_heard"] else "not heard"
+        return f"epoch {known['epoch']}, a majority is {quorum}; {said}"
 
     def leases(self) -> str:
-        """The tasks, for one line: what this member knows, which may be old where no majority is heard."""
-        now = self.node.clock()
-        parts = []
-        for task, tenure in sorted(self.node.member.tenures.items()):
-            token = tenure.token(now)
-            if token is not None:
-                left_s = (tenure.until_ms - now) / 1000.0
-                parts.append(f"{task}: held here, token {token}, {left_s:.1f} s more")
-            elif tenure.known and tenure.seen.holder:
-                ago = (now - tenure.seen_ms) / 1000.0
-                parts.append(f"{task}: {tenure.seen.holder}, token {tenure.seen.token}, seen {ago:.1f} s ago")
+        """The tasks, for one line."""
+        known, parts = self.tasks_held(), list[str]()
+        for row in known["tasks"]:
+            if row["more_s"] is not None:
+                parts.append(f"{row['task']}: held here, token {row['token']}, {row['more_s']} s more")
+            elif row["holder"] is None:
+                parts.append(f"{row['task']}: not known")
             else:
-                parts.append(f"{task}: {'nobody' if tenure.known else 'not known'}")
-        if self.paced is not None:
-            parts.append(self.paced.shown())
-        return "; ".join(parts)
+                seen = f"token {row['token']}, seen {row['seen_s_ago']} s ago"
+                parts.append(f"{row['task']}: {row['holder']}, {seen}")
+        return "; ".join([*parts, *([known["restart"]] if known["restart"] else [])])
 
 
 def form(config: Config) -> str:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import shutil
 import subprocess
 import sys
 
@@ -57,3 +58,26 @@
     world.drmaa = ("127.0.0.1", free_port())
     gone = console(world, "status")
     assert (gone.returncode, gone.stderr.count("\n")) == (3, 1)
+
+
+def test_the_console_shows_the_fleet_and_who_holds_its_tasks(world: World) -> None:
+    folder, collector = world.folder / "fleet", free_port()
+    settings = (
+        f'[fleet]\nterm_s = 1.0\n[fleet.members]\ngrebestack = "127.0.0.1:{free_port()}"\n'
+        f'[fleet.tallies]\ncollector = "127.0.0.1:{collector}"\n'
+    )
+    world.start_appliance()
+    assert console(world, "fleet").returncode == 1  # it is a member of none
+    world.kill()
+    world.start_appliance(settings=settings)  # not formed: nobody could admit it
+    wait_until(lambda: "asks to be admitted" in console(world, "fleet").stdout)
+    world.kill()
+    shutil.rmtree(folder)
+    form = [sys.executable, "-m", "grebestack", "form", "--config", str(world.folder / "appliance.toml")]
+    assert subprocess.run(form, timeout=60, check=False, stdout=subprocess.DEVNULL).returncode == 0
+    again = subprocess.run(form, timeout=60, check=False, capture_output=True, text=True)
+    assert (again.returncode, "holds records of a member already" in again.stdout) == (2, True)
+    world.start_appliance(settings=settings)
+    wait_until(lambda: "grebestack  1" in console(world, "fleet", "leases").stdout)
+    fleet = json.loads(console(world, "--json", "fleet").stdout)
+    assert fleet["majority_heard"] and fleet["members"][0]["state"] == "votes"
--- a/tests/test_held_order.py
+++ b/tests/test_held_order.py
@@ -139,3 +139,24 @@
     d.policy._drain_held = lambda freed=None: looked.append(freed) or look(freed)  # type: ignore[method-assign, func-returns-value]
     d.policy._scan()
     assert len([view for view in looked if view]) == 6 and looked[-1] is None
+
+
+def test_a_key_of_0_is_a_key_like_any_other() -> None:
+    # Where blocks walk by keys a single freed worker is left to the requests that have one.
+    script = {"default": api.Tag((api.Block(strategy="platform", threshold=1),), "fail")}
+    for key in (7, 0):
+        d = Dispatcher(settings(script=script), workers=1)
+        running, _ = d.ask(ORDER, key=key)
+        held, _ = d.ask(ORDER, key=key)
+        d.start(running, "w0")
+        assert d.policy.requests[held].held
+        d.policy.workers["w0"].used = 0.0
+        assert d.policy._select(d.policy.requests[held], d.policy.workers["w0"]) is not None
+
+
+def test_a_worker_that_has_restarted_keeps_nothing_of_before() -> None:
+    d, running = full()
+    d.end(running, "w0")
+    assert 7 in d.policy.workers["w0"].kept
+    d.listed(entry("w0", started_ms=d.now))
+    assert not d.policy.workers["w0"].kept
