Call back a job that did not start in time where copies are forbidden, and send it on

Now such a job is asked back (`Cancel`, not at once) and goes on when its server has said that it gives it up. Ruled out by a trial: asking before the 202.

--- a/grebestack/core/interface.py
+++ b/grebestack/core/interface.py
@@ -326,10 +326,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Stop waiting for one attempt."""
+    """Stop waiting for one attempt, at once or when its worker says that it gives it up."""
 
     request: int
     attempt: int
+    at_once: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -25,8 +25,7 @@
 RING_STEP = 0.618034  # golden ratio: any run of dispatcher numbers spreads evenly over the ring
 REPORT_LAG_MS = 500.0  # a load report shows a worker as it was about so long before it came
 CRASH_BREAKS = 2  # so many broken connections without one good end between them mean a crash
-PACE_SHARE = 0.2  # of each job in its worker's pace
-PACE_MOST = 4.0  # a job counts no slower than this: one that is heavy says little of its worker
+PACE_SHARE, PACE_MOST = 0.2, 4.0  # of each job in its worker's pace; a job counts no slower: it may be heavy
 SLUGGISH, SLOW = 1.5, 2.5  # a worker so much slower than is typical comes later with fewer jobs; only trials
 TRIAL = 4.0  # an ill worker's next trial comes after so many running times, doubled each time
 ERROR_SHARE = 0.3  # of each error in its worker's share of them
@@ -34,8 +33,7 @@
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
 REGAIN, YIELD, LET_IN = 1.15, 0.7, 0.05  # of the jobs let in: by a prompt start, an overdue one, at least
-KEEP = 4  # keys of ours that a worker is taken to keep
-FETCH = 16.0  # running times that a fetch counts for far from a key's home: it drives other keys out
+KEEP, FETCH = 4, 16.0  # keys of ours that a worker is taken to keep; a fetch far from home, in running times
 SCAN_MOST = 6  # workers for which a scan looks for the best job of each
 SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
 
@@ -507,6 +505,8 @@
         self._strike(view, max(0.0, view.used - 1.0), self.learned.run_ms[request.level[0]] / 2)
         if self._movable(request) and not request.closed:
             self._place(request)
+        elif self.settings.cancel and not request.closed and request.job_class.effect is not Effect.UNSAFE:
+            self.actions.append(api.Cancel(request.asked.request, request.attempts.index(attempt), False))
 
     def _strike(self, view: WorkerView, ceiling: float, pause: float) -> None:
         view.ceiling = min(view.ceiling, ceiling)
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -139,7 +139,8 @@
     def cancelled(self, dispatch: Dispatch) -> None:
         """A server says that it has cancelled a dispatch as asked."""
         if dispatch.outcome is None:
-            self._terminated(dispatch.session)
+            if dispatch.session.terminating:
+                self._terminated(dispatch.session)
             self.settle(dispatch, api.Outcome.CANCELLED)
 
     def may_send(self, dispatch: Dispatch) -> bool:
@@ -235,7 +236,7 @@
             if isinstance(action, api.Send):
                 self._send(session, action)
             elif isinstance(action, api.Cancel):
-                self._cancel(session, action.attempt)
+                self._cancel(session, action)
             else:
                 self._answer(session, action)
 
@@ -252,9 +253,14 @@
         self.on_sent(dispatch)
         self.servers.dispatch(dispatch)
 
-    def _cancel(self, session: Session, number: int) -> None:
-        dispatch = session.dispatches[number]
-        if dispatch.outcome is None:
+    def _cancel(self, session: Session, action: api.Cancel) -> None:
+        dispatch = session.dispatches[action.attempt]
+        if not action.at_once and dispatch.stage is not Stage.WAITING:
+            # Only what the server has said it has: the word could overtake the job, which would run then.
+            if dispatch.outcome is None and dispatch.stage is Stage.ACCEPTED:
+                self.on_act("cancel", session, dispatch.server)
+                self.servers.cancel(dispatch)
+        elif dispatch.outcome is None:
             self.on_act("cancel", session, dispatch.server)
             self.servers.give_up(dispatch)
             self.settle(dispatch, api.Outcome.CANCELLED)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from grebestack.core import interface as api
 from grebestack.core.interface import Outcome
 from grebestack.routing.session import Stage as Progress
 from grebestack.transport import client as transport
@@ -146,7 +147,7 @@
         await stage.until(lambda: peer.whole())
         (dispatch,) = stage.engine.open_by_call_id["a"].dispatches
         peer.say(0, TAKEN)  # it lies unread while the dispatcher gives up
-        stage.engine._cancel(dispatch.session, 0)
+        stage.engine._cancel(dispatch.session, api.Cancel(dispatch.session.number, 0))
         await stage.until(lambda: any(b"DELETE /jobs/a " in data for data in peer.whole()))
         await stage.turns()
         sends = [data for data in peer.whole() if data.startswith(b"POST")]
@@ -155,6 +156,39 @@
     play(test)
 
 
+@pytest.mark.parametrize("said", [
+    b"HTTP/1.1 204 No Content\r\n\r\n", b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
+])
+def test_a_job_that_is_called_back_goes_elsewhere_once_its_server_has_given_it_up(said: bytes) -> None:
+    """Where copies are forbidden: never before, and not at all if the server says no."""
+    async def test(stage: Stage) -> None:
+        caller, peers = stage.client(), stage.peers
+        caller.order("a", "view")
+        await stage.until(lambda: any(peer.whole() for peer in peers))
+        first = 0 if peers[0].got else 1
+        peers[first].say(0, TAKEN)
+        await stage.until(lambda: stage.engine.open_by_call_id["a"].out()[0].stage is Progress.ACCEPTED)
+        number = stage.engine.open_by_call_id["a"].number
+        stage.engine._carry_out(api.Cancel(number, 0, at_once=False))
+        await stage.until(lambda: any(b"DELETE /jobs/a " in data for data in peers[first].whole()))
+        await stage.turns()
+        assert not peers[1 - first].whole() and stage.engine.counts["dispatches"] == 1
+        on = next(n for n, data in peers[first].got.items() if b"DELETE" in data)
+        peers[first].say(on, said)
+        if b"204" in said:
+            await stage.until(lambda: peers[1 - first].whole())
+            stage.call_back("a", f"s{first}", result="of the one that gave it up")
+            stage.call_back("a", f"s{1 - first}", result="r")
+        else:
+            await stage.turns()
+            assert not peers[1 - first].whole()
+            stage.call_back("a", f"s{first}", result="r")
+        await stage.until(lambda: caller.status == 200)
+        assert caller.heard.endswith(b"\r\n\r\nr")
+
+    play(test, servers=2, tells_start=True)
+
+
 # A server's answers and call-backs.
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -161,6 +161,19 @@
     assert d.policy.workers[head].ceiling == 0.0
 
 
+def test_where_copies_are_forbidden_an_overdue_job_moves_once_its_worker_has_given_it_up() -> None:
+    d = Dispatcher(settings(second_copies=False), workers=2)
+    request, actions = d.ask(VIEW)
+    (first,) = sends(actions)
+    called_back = d.wait(200)
+    assert called_back == [api.Cancel(request, 0, at_once=False)]  # and no copy while it is out
+    assert not sends(d.wait(300))
+    (second,) = sends(d.end(request, first, api.Outcome.CANCELLED))
+    assert second != first
+    order, actions = d.ask(ORDER)
+    assert sends(actions) and not [a for a in d.wait(200) if a == api.Cancel(order, 0, at_once=False)]
+
+
 def test_own_zone_comes_first_and_a_crossing_waits_for_its_price() -> None:
     d = Dispatcher(settings(cross_zone_price=0.1), workers=0)
     d.listed(entry("far", zone=1))
