Send a key's jobs to its homes where starts are told; let in by jobs moved in vain

Change: where starts are told, so that a job that waits is moved on, best_first walks a key's homes in order; the door falls to a half with each job that waits after it was moved, or can't be.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -32,10 +32,9 @@
 AHEAD = 0.5  # of its class's aim a job may wait at a worker: word of a free slot comes too late to fill it
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
-REGAIN, YIELD, LET_IN = 1.15, 0.7, 0.05  # of the jobs let in: by a prompt start, an overdue one, at least
+REGAIN, YIELD, LET_IN = 1.15, 0.5, 0.05  # of the jobs let in: by a prompt start, an overdue one, at least
 KEEP, FETCH = 4, 16.0  # keys of ours that a worker is taken to keep; a fetch far from home, in running times
-SCAN_MOST = 6  # workers for which a scan looks for the best job of each
-SCAN_HEADS = 3  # held requests tried for each level of the queue when room may have appeared
+SCAN_MOST, SCAN_HEADS = 6, 3  # a scan: workers that look for their best job, held requests tried of a level
 
 
 def built_in_script(settings: api.Settings) -> dict[str, Tag]:
@@ -82,8 +81,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.random, self.now = random.Random(seed), 0.0
         self.workers: dict[str, WorkerView] = {}
-        self.requests = state.Ledger()
-        self.held = state.HeldRequests()
+        self.requests, self.held = state.Ledger(), state.HeldRequests()
         self.orders: dict[OrderKey, list[WorkerView]] = {}
         self.barren: dict[OrderKey, tuple[float, float]] = {}  # no room before a time, for so many slots
         self.learned = state.Learned(settings.tick_ms, self.random)
@@ -298,6 +296,8 @@
             what = request.job_class.name if request.asked.key is None else request.asked.key
             start = state.stable_hash(f"{self.settings.dispatcher} {what}")
             walk = state.coprime_walk(order, start, int(len(order) * RING_STEP))
+        elif block.strategy == "best_first" and request.keyed and self.settings.tells_start:
+            walk = sorted(order, key=lambda v: (not v.fresh, state.distance(request.asked.key or 0, v.spot)))
         valid = (
             v for v in walk
             if not (rule(v, request, block.threshold) or self._unreachable(v, request) or request.out_at(v))
@@ -316,8 +316,8 @@
         share = self.settings.cross_zone_price * self.learned.worth / value
         return self.now - request.arrived_ms >= request.job_class.aim_ms * min(1.0, share)
 
-    def _movable(self, request: Request) -> bool:
-        moves = self.settings.cancel and self.settings.second_copies
+    def _movable(self, request: Request, apart: bool = False) -> bool:
+        moves = self.settings.cancel and (apart or self.settings.second_copies)
         return moves and request.job_class.effect is not Effect.UNSAFE
 
     # The ledger: the only place that sends, refuses or fails.
@@ -481,8 +481,7 @@
         if request is None or attempt is None or attempt.started_ms is not None:
             return
         view, delay = attempt.worker, self.now - attempt.sent_ms
-        attempt.started_ms = self.now
-        view.unstarted -= 1
+        attempt.started_ms, view.unstarted = self.now, view.unstarted - 1
         if not attempt.cancelled:
             request.held = False
         if delay <= self._patience(view, request):
@@ -499,13 +498,15 @@
 
     def _overdue(self, request: Request, attempt: Attempt) -> None:
         """Sent, not started: the worker is full for us; a job that may move goes to the next valid worker."""
-        # Guards against queues that never drain: what late earns nothing is let in by prompt starts alone.
-        self.admitted, view = max(LET_IN, YIELD * self.admitted), attempt.worker
+        # Queues must drain: what late earns nothing is let in by prompt starts, not by jobs moved in vain.
+        view, moves = attempt.worker, self._movable(request, True)
+        vain = len(request.attempts) > 1 or not moves
+        self.admitted = max(LET_IN, self.admitted * (YIELD if vain else 1.0))
         self.learned.start(view.own_zone, self.now - attempt.sent_ms)
         self._strike(view, max(0.0, view.used - 1.0), self.learned.run_ms[request.level[0]] / 2)
         if self._movable(request) and not request.closed:
             self._place(request)
-        elif self.settings.cancel and not request.closed and request.job_class.effect is not Effect.UNSAFE:
+        elif moves and not request.closed:
             self.actions.append(api.Cancel(request.asked.request, request.attempts.index(attempt), False))
 
     def _strike(self, view: WorkerView, ceiling: float, pause: float) -> None:
@@ -544,8 +545,7 @@
 
     def _went_well(self, view: WorkerView, request: Request, attempt: Attempt, full: bool) -> None:
         """Learn the class's running time; raise the ceiling slowly while jobs end within the aim."""
-        index = request.level[0]
-        ran_ms = self.now - (attempt.started_ms or attempt.sent_ms)
+        index, ran_ms = request.level[0], self.now - (attempt.started_ms or attempt.sent_ms)
         self.learned.ran(index, ran_ms, request.asked.cost_ms)
         ratio = ran_ms / attempt.expected_ms
         view.ran(min(PACE_MOST, ratio), PACE_SHARE)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -8,7 +8,7 @@
 
 from grebestack.core import interface as api
 from grebestack.core.policy import Policy, built_in_script
-from grebestack.core.state import KEEP_MS, Agenda
+from grebestack.core.state import KEEP_MS, Agenda, distance, stable_hash
 from tests.driver import BASE, ORDER, VIEW, Dispatcher, entry, sends, settings
 
 ALL_FAIL = {"default": api.Tag((api.Block(),), "fail")}
@@ -161,6 +161,37 @@
     assert d.policy.workers[head].ceiling == 0.0
 
 
+def test_a_keys_jobs_go_to_the_same_home_from_all_dispatchers_and_to_the_next_where_they_wait() -> None:
+    """Where starts are told. Spread over all workers each of them fetches each key anew."""
+    homes = set()
+    for number in range(5):
+        d = Dispatcher(settings(dispatcher=number, siblings=5, second_copies=False), workers=40)
+        request, actions = d.ask(VIEW, key=77)
+        (first,) = sends(actions)
+        d.wait(200)
+        (second,) = sends(d.end(request, first, api.Outcome.CANCELLED))
+        homes.add((first, second))
+    ((first, second),) = homes
+    nearest = sorted((distance(77, stable_hash(f"w{n}")), f"w{n}") for n in range(40))
+    assert [name for _, name in nearest[:2]] == [first, second]
+
+
+def test_a_job_that_waits_once_and_starts_elsewhere_keeps_nobody_out() -> None:
+    """Of what late earns nothing: one queue is not all queues."""
+    classes = tuple(replace(c, late_worth=0.0) for c in settings().classes)
+    d = Dispatcher(settings(classes=classes, second_copies=False), workers=9)
+    request, actions = d.ask(VIEW)
+    d.wait(200)
+    (second,) = sends(d.end(request, sends(actions)[0], api.Outcome.CANCELLED))
+    assert d.policy.admitted == 1.0
+    d.start(request, second, 1)
+    moved, actions = d.ask(VIEW)
+    d.wait(200)
+    d.end(moved, sends(actions)[0], api.Outcome.CANCELLED)
+    d.wait(200)
+    assert d.policy.admitted < 1.0, "it waits wherever it goes"
+
+
 def test_where_copies_are_forbidden_an_overdue_job_moves_once_its_worker_has_given_it_up() -> None:
     d = Dispatcher(settings(second_copies=False), workers=2)
     request, actions = d.ask(VIEW)
