Look first where we have the fewest jobs when neither reports nor starts tell of queues

Change: such deployments are "blind", and a block over all workers is walked by our own jobs, then the ring. The models of connections are shown to catch broken ones.

--- a/grebestack/core/interface.py
+++ b/grebestack/core/interface.py
@@ -117,6 +117,11 @@
         if self.threshold is not None and not 0 < self.threshold <= top:
             raise ValueError(f"a block's {self.invalidate} has the threshold {self.threshold!r} out of range")
 
+    @property
+    def open(self) -> bool:
+        """Best first over all workers of a place: in which order is for the module to say."""
+        return self.strategy == "best_first" and self.workers == ("*",)
+
     def holds(self, worker: str, own_zone: bool) -> bool:
         """Whether a worker, in the dispatcher's own zone or another, belongs to the block."""
         named = self.workers == ("*",) or worker in self.workers
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -108,6 +108,7 @@
         self.settings, self.ring = settings, settings.dispatcher * RING_STEP % 1.0
         script = state.ResolvedScript(settings.script or built_in_script(settings), settings.classes)
         self.blocks, self.paths, self.refuses = script.blocks, script.paths, script.refuses
+        self.blind = not settings.tells_start and "free_slots" not in settings.report_fields
         self.shares = [state.TokenBucket() for _ in settings.tenants]
         live = (c for index, c in enumerate(settings.classes) if index not in settings.retired)
         self.triers = any(c.effect is not Effect.UNSAFE for c in live)
@@ -202,8 +203,7 @@
         self.workers = {name: view for name, view in self.workers.items() if view.ready or view.jobs}
 
     def _density(self, level: Level) -> float:
-        cost = self.learned.run_ms[level[0]] * self.learned.slots[level[0]]
-        return self._part(level) / (1.0 if self.settings.worth_by_work else cost)
+        return self._part(level) / (1.0 if self.settings.worth_by_work else self.learned.cost(level[0]))
 
     def _part(self, level: Level) -> float:
         worth = self.settings.classes[level[0]].worth * (self.settings.over_share_worth if level[1] else 1.0)
@@ -217,10 +217,11 @@
             order = [view for view in state.members(self.workers, block, *key[1:]) if view.ready]
             if block.workers == ("*",):
                 order.sort(key=lambda v: (v.spot, v.entry.worker))
-            if block.workers == ("*",) and block.strategy == "best_first":
+            if block.open:
                 for place, view in enumerate(order):
                     view.stand(abs(place / len(order) - self.ring), self.settings.siblings, self.zones)
-                order.sort(key=lambda v: (-v.fresh, v.warm_at > self.now, self._slower(v, SLUGGISH), v.apart))
+                slow = SLUGGISH * self.typical_pace
+                order.sort(key=lambda v: (-v.fresh, v.warm_at > self.now, v.pace > slow, v.apart))
             self.orders[key] = order
         return order
 
@@ -237,13 +238,10 @@
         trial = view.jobs == 0 and self.now >= view.full_until + wait
         return view.strikes > 0 and view.used >= view.ceiling and not trial
 
-    def _slower(self, view: WorkerView, times: float) -> bool:
-        return view.pace > times * self.typical_pace
-
     def _ill(self, view: WorkerView, index: int) -> bool:
         """Far slower than its peers, or failing a class they don't: always free, it would draw most work."""
         most = FAILING + 1.5 * self.typical_errors.get(index, 0.0)
-        return self._slower(view, SLOW) or view.failing.get(index, 0.0) > most
+        return view.pace > SLOW * self.typical_pace or view.failing.get(index, 0.0) > most
 
     def _concurrency_reached(self, view: WorkerView, request: Request, limit: float | None) -> bool:
         if view.jobs == 0:
@@ -296,7 +294,9 @@
             what = request.job_class.name if request.asked.key is None else request.asked.key
             start = state.stable_hash(f"{self.settings.dispatcher} {what}")
             walk = state.coprime_walk(order, start, int(len(order) * RING_STEP))
-        elif block.strategy == "best_first" and request.keyed and self.settings.tells_start:
+        elif block.open and self.blind:  # nobody tells a queue: it is looked for where we have the fewest
+            walk = sorted(order, key=lambda v: (v.warm_at > self.now, v.used))
+        elif block.open and request.keyed and self.settings.tells_start:
             walk = sorted(order, key=lambda v: (not v.fresh, state.distance(request.asked.key or 0, v.spot)))
         valid = (
             v for v in walk
@@ -361,8 +361,7 @@
             self._hold(request)
 
     def _send(self, request: Request, view: WorkerView) -> None:
-        for attempt in request.out():
-            self._cancel(request, attempt)
+        self._cancel(request)
         request.held, index = False, request.level[0]
         run_ms = self.learned.expects(index, request.asked.cost_ms)
         attempt = Attempt(view, self.now, request.asked.slots, request.asked.memory, run_ms)
@@ -384,10 +383,11 @@
             attempt.started_ms = self.now
         self.actions.append(api.Send(request.asked.request, view.entry.worker, None, by_ms))
 
-    def _cancel(self, request: Request, attempt: Attempt) -> None:
-        attempt.cancelled = True
-        if self.settings.cancel:
-            self.actions.append(api.Cancel(request.asked.request, request.attempts.index(attempt)))
+    def _cancel(self, request: Request) -> None:
+        for attempt in request.out():
+            attempt.cancelled = True
+            if self.settings.cancel:
+                self.actions.append(api.Cancel(request.asked.request, request.attempts.index(attempt)))
 
     def _give_up(self, request: Request) -> None:
         number, harmless = request.asked.request, refusable(request)
@@ -404,8 +404,7 @@
         request.closed, request.held = True, False
         if answer is not None:
             self.actions.append(answer)
-        for attempt in request.out():
-            self._cancel(request, attempt)
+        self._cancel(request)
         if all(a.outcome is not None for a in request.attempts):
             self.requests.pop(request.asked.request, None)
 
--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -91,6 +91,10 @@
         """How long a job runs on the whole."""
         return sum(self.run_ms) / len(self.run_ms)
 
+    def cost(self, index: int) -> float:
+        """Slot-milliseconds of a job of a class."""
+        return self.run_ms[index] * self.slots[index]
+
     def expects(self, index: int, cost_ms: float | None) -> float:
         """How long a job is taken to run, in milliseconds: by its hint, or as its class does."""
         return self.per_cost[index] * cost_ms if cost_ms else self.run_ms[index]
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -8,8 +8,15 @@
 from typing import Any, cast
 
 import pytest
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
 
 from grebestack.transport import client, server
 
@@ -594,3 +601,56 @@
         connection.data_received(bytes([byte]))
     assert [(r.status, r.headers[b"x-rejected"], r.body) for r in got] == [(503, b"1", b"no")]
     assert not wire.closed
+
+
+# A fault is to be found, not to be shown in few steps.
+FIND = settings(derandomize=True, deadline=None, max_examples=300, phases=[Phase.generate])
+
+
+@pytest.mark.parametrize("fault", ["answers twice", "hands on while one is due", "lingers for ever"])
+def test_the_model_of_a_clients_connection_catches_a_broken_one(
+    fault: str, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    if fault == "answers twice":
+        whole = server.Connection.answer
+
+        def answer(self: server.Connection, status: int, body: bytes = b"", headers: bytes = b"") -> None:
+            whole(self, status, body, headers)
+            if status == 408 and self.transport is not None:
+                self.transport.write(b"HTTP/1.1 408 Again\r\n\r\n")
+
+        monkeypatch.setattr(server.Connection, "answer", answer)
+    elif fault == "hands on while one is due":
+        def ended(self: server.Connection) -> None:
+            self.partial = self.headed = False
+            self.busy = True
+            self.acceptor.engaged(self)
+            self.acceptor.handler.request(self, self.reading)
+
+        monkeypatch.setattr(server.Connection, "on_message_complete", ended)
+    else:
+        monkeypatch.setattr(server.Acceptor, "leaving", lambda self, connection: None)
+    with pytest.raises((AssertionError, ExceptionGroup)):
+        run_state_machine_as_test(ServerConnectionModel, settings=FIND)
+
+
+@pytest.mark.parametrize("fault", ["sends twice", "holds too many", "forgets one that waits"])
+def test_the_model_of_connections_to_servers_catches_a_broken_one(
+    fault: str, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    if fault == "sends twice":
+        lost = client.Pool.lost
+
+        def resend(self: client.Pool, connection: client.Connection) -> None:
+            if connection.exchange is not None:
+                self.waiting.append(connection.exchange)
+            lost(self, connection)
+
+        monkeypatch.setattr(client.Connection, "release", lambda self: (self.exchange, bool(self.held)))
+        monkeypatch.setattr(client.Pool, "lost", resend)
+    elif fault == "holds too many":
+        monkeypatch.setattr(client.Pools, "room", lambda self: True)
+    else:
+        monkeypatch.setattr(client.Pool, "dial_failed", lambda self: None)
+    with pytest.raises((AssertionError, ExceptionGroup)):
+        run_state_machine_as_test(PoolModel, settings=FIND)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -176,6 +176,31 @@
     assert [name for _, name in nearest[:2]] == [first, second]
 
 
+def test_where_nobody_tells_a_queue_the_worker_with_the_fewest_of_ours_comes_first() -> None:
+    """Neither reports nor starts: one worker filled to a ceiling that grows piled jobs up in its queue."""
+    d = Dispatcher(settings(tells_start=False), workers=6)
+    for view in d.policy.workers.values():
+        view.ceiling = 8.0
+    for _ in range(12):
+        d.ask(VIEW)
+    assert [view.jobs for view in d.policy.workers.values()] == [2] * 6
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_block_that_names_its_workers_is_walked_in_that_order(told: bool) -> None:
+    """Whatever key a job brings, and whether or not anybody tells of queues."""
+    names = tuple(f"w{n}" for n in (4, 1, 3, 0))
+    script = {"default": api.Tag((api.Block(names, threshold=2),), "fail")}
+    d = Dispatcher(settings(script=script, tells_start=told), workers=6)
+    sent = []
+    for key in range(8):
+        request, actions = d.ask(VIEW, key=key)
+        sent += sends(actions)
+        if told:
+            d.start(request, sent[-1])
+    assert sent == ["w4", "w4", "w1", "w1", "w3", "w3", "w0", "w0"]
+
+
 def test_a_job_that_waits_once_and_starts_elsewhere_keeps_nobody_out() -> None:
     """Of what late earns nothing: one queue is not all queues."""
     classes = tuple(replace(c, late_worth=0.0) for c in settings().classes)
