Name the field and value of spoilt call-backs and requests, a line a second at most

Cause: protocol/runners.py `called_back` answered 400 to what can't be read without a word in the log, and passed over an unknown state or a share that is no figure; protocol/platform.py `_malformed` named the id alone, so that nobody could tell which field of a client's request was wrong. Change: `bad_call_back` and `malformed` name field and value, one line a second at most; nothing else is answered.

--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -118,17 +118,17 @@
             return
         # Guards runners, and the counts that decisions rest on, against what no client should send: a runner
         # closes on what it can't read, and a keyed job without its key could run twice.
-        wrong = (
-            known is None
-            or not PLAIN(call_id)
-            or not PLAIN(request.target)
-            or (budget is not None and not SECONDS(budget))
-            or (key is None and known[0] in self.keyed)
-            or (key is not None and not PLAIN(key))
-            or not (0 < slots <= MOST_FIGURE and 0 <= memory <= MOST_FIGURE)
-        )
-        if known is None or wrong:
-            self._malformed(connection, call_id)
+        wrong = {
+            b"X-Call-Class": known is None,
+            b"X-Call-Id": not PLAIN(call_id),
+            b"target": not PLAIN(request.target),
+            b"X-Budget": budget is not None and not SECONDS(budget),
+            b"Idempotency-Key": (known and known[0] in self.keyed) if key is None else not PLAIN(key),
+            b"X-Call-Info": not (0 < slots <= MOST_FIGURE and 0 <= memory <= MOST_FIGURE),
+        }
+        if known is None or any(wrong.values()):
+            name = next(name for name, is_wrong in wrong.items() if is_wrong)
+            self._malformed(connection, name, request)
             return
         if connection.crowded or self.closing:
             self.deny(connection, self.most_retry_after_ms)
@@ -170,12 +170,15 @@
         free = sum(other.asked for other in connection.acceptor.idle)
         return free < sum(other.asked for other in connection.acceptor.connections) // SPARE_PART
 
-    def _malformed(self, connection: Connection, call_id: bytes) -> None:
+    def _malformed(self, connection: Connection, name: bytes, request: Request) -> None:
         """Answer 400. One line a second at most: a client that repeats itself must not fill the log."""
         self.engine.counts["malformed"] += 1
         if self.engine.clock.now_ms() >= self.quiet_until_ms:
             self.quiet_until_ms = self.engine.clock.now_ms() + 1000.0
-            log.info("malformed", extra={"kv": {"call_id": call_id[:80].decode("latin-1")}})
+            value = request.target if name == b"target" else request.headers.get(name.lower())
+            call_id = request.headers.get(b"x-call-id", b"")[:80].decode("latin-1")
+            kv = {"call_id": call_id, "field": name.decode(), "value": f"{value!r:.80}"}
+            log.info("malformed", extra={"kv": kv})
         connection.answer(400)
 
     def deny(self, connection: Connection, retry_after_ms: float | None) -> None:
--- a/grebestack/protocol/runners.py
+++ b/grebestack/protocol/runners.py
@@ -226,6 +226,7 @@
         self.calls: dict[tuple[str, str], Call] = {}  # by call id and server: what is waited for
         self.given_up: set[tuple[str, str]] = set()  # what a server is just being told not to do
         self.mark: Callable[[], bytes] = bytes  # a header line of an audit's, or nothing
+        self.quiet_until_ms = 0.0  # no second line about a spoilt call-back before
         self.uids: dict[str, str] = {}  # servers that have moved: the id that their call-backs bring
 
     def dispatch(self, dispatch: Dispatch) -> None:
@@ -315,11 +316,14 @@
         """
         try:
             raw = json.loads(body)
-            call_id, server, state = raw["id"], raw["from"], raw["state"]
-        except (ValueError, KeyError, TypeError, RecursionError):
-            return Said.NOTHING
-        if not all(isinstance(value, str) for value in (call_id, server, state)):
-            return Said.NOTHING
+        except (ValueError, RecursionError):
+            raw = None
+        if not isinstance(raw, dict):
+            return self._odd("body", body)
+        for name in ("id", "from", "state"):
+            if not isinstance(raw.get(name), str):
+                return self._odd(name, raw.get(name))
+        call_id, server, state = raw["id"], raw["from"], raw["state"]
         call = self.calls.get((call_id, server))
         if call is None and state in FINAL and (call_id, server) in self.adopted:
             self.adopted.pop((call_id, server))(FINAL[state], result_of(raw))
@@ -335,6 +339,18 @@
             self.engine.settle(call.dispatch, FINAL[state], report, result_of(raw))
         elif state == "started":
             self.engine.progress(call.dispatch, None)
-        elif state == "running" and (share := _figure(raw.get("share"))) is not None:
+        elif state != "running":
+            self._odd("state", state)
+        elif (share := _figure(raw.get("share"))) is not None:
             self.engine.progress(call.dispatch, share)
+        else:
+            self._odd("share", raw.get("share"))
         return Said.TAKEN
+
+    def _odd(self, name: str, value: object) -> Said:
+        """A call-back that can't be read, or not all of it: one line a second at most says what was odd."""
+        now_ms = self.engine.clock.now_ms()
+        if now_ms >= self.quiet_until_ms:
+            self.quiet_until_ms = now_ms + 1000.0
+            log.info("bad_call_back", extra={"kv": {"field": name, "value": f"{value!r:.80}"}})
+        return Said.NOTHING
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -426,12 +426,43 @@
         runner.send(b"POST /callback HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         await stage.until(lambda: runner.status)
         assert runner.status in (204, 400) and not caught
+        said = [record for record in caplog.records if record.message == "bad_call_back"]
+        assert len(said) == 1 or runner.status == 204, "one line names field and value"
+        assert all({"field", "value"} <= cast(Any, record).kv.keys() for record in said)
         stage.call_back("a", "s0", result="r")
         await stage.until(lambda: caller.status)
 
+    caplog.set_level("INFO")
     play(test)
     assert not [record for record in caplog.records if record.exc_info], caplog.text
 
 
 def test_the_outcome_of_what_is_taken_back_proves_that_it_never_ran() -> None:
     assert Outcome.CONNECT_FAILED.never_ran and not Outcome.RESET.never_ran
+
+
+@pytest.mark.parametrize("field, headers", [
+    ("X-Call-Class", {"X-Call-Class": "none such"}),
+    ("X-Call-Id", {"X-Call-Id": "two words"}),
+    ("X-Budget", {"X-Budget": "soon"}),
+    ("Idempotency-Key", {"Idempotency-Key": None}),
+    ("X-Call-Info", {"X-Call-Info": "slots=-1"}),
+])
+def test_a_spoilt_request_is_answered_400_and_one_line_names_the_field(
+    field: str, headers: dict[str, str | None], caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test(stage: Stage) -> None:
+        good: dict[str, str | None] = {
+            "X-Call-Id": "a", "X-Call-Class": "book", "Idempotency-Key": "k", "X-Budget": "2.0",
+        }
+        lines = [f"{name}: {value}\r\n" for name, value in (good | headers).items() if value is not None]
+        for _ in range(3):
+            stage.client().send(f"POST /api HTTP/1.1\r\n{''.join(lines)}Content-Length: 0\r\n\r\n".encode())
+        await stage.until(lambda: all(caller.status for caller in stage.clients))
+        assert [caller.status for caller in stage.clients] == [400] * 3
+        assert stage.engine.counts["malformed"] == 3 and not stage.engine.sessions
+
+    caplog.set_level("INFO")
+    play(test)
+    said = [cast(Any, record).kv["field"] for record in caplog.records if record.message == "malformed"]
+    assert set(said) == {field} and len(said) <= 2
