--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -15,7 +15,7 @@
 from grebestack.core.state import Attempt, Level, OrderKey, Request, WorkerView
 
 # Every constant of the module. None is a size or speed of any site; what a site is like is learned.
-PATIENCE, PATIENCE_CAP = 3.0, 0.25  # a start is overdue after so many prompt ones, or this part of the aim
+PATIENCE, PATIENCE_CAP = 3.0, 0.25  # overdue: after so many prompt starts (and two ticks), or this of the aim
 SCAN_MS = 20.0  # held requests look over all workers again after this, if no attempt of ours ended
 RANK_MS = 1000.0  # the queue's order is renewed after this, never per request
 RAISE_MS = 2000.0  # after an overdue start the worker's ceiling stays for about this long
@@ -32,7 +32,7 @@
 AHEAD = 0.5  # of its class's aim a job may wait at a worker: word of a free slot comes too late to fill it
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
-REGAIN, YIELD, LET_IN = 1.15, 0.5, 0.05  # of the jobs let in: by a prompt start, an overdue one, at least
+REGAIN, YIELD, LET_IN = 1.15, 0.5, 0.05  # of the jobs let in: by a prompt start, one moved in vain, at least
 KEEP, FETCH = 4, 16.0  # keys of ours that a worker is taken to keep; a fetch far from home, in running times
 SCAN_MOST, SCAN_HEADS = 6, 3  # a scan: workers that look for their best job, held requests tried of a level
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -31,10 +31,9 @@
 class GatedPools(Pools):
     """Connections begin to come up while the gate is open."""
 
+    gate: asyncio.Event
+
     async def _dial(self, pool: Pool) -> None:
-        if not hasattr(self, "gate"):
-            self.gate = asyncio.Event()
-            self.gate.set()
         await self.gate.wait()
         await super()._dial(pool)
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -34,6 +34,7 @@
     "zones": ["here"], "models": ["c8"], "zone": 0, "tickMs": 5.0,
 }
 
+CONFIG: dict[str, Any] = {"settings": OPTIONS, "seed": "1f", "limits": {"sockets": 256}}
 
 APPLIANCE_SETTINGS = """
 [settings]
@@ -308,7 +309,7 @@
 
     def start(self) -> Address:
         """Start the dispatcher; back once it is ready."""
-        config = {"settings": OPTIONS, "seed": "1f", "limits": {"sockets": 256}, "known": self.known}
+        config = CONFIG | {"known": self.known}
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         environ = {
@@ -326,9 +327,7 @@
         """
         if self.held is None:
             self.held = socket.create_server(self.front, backlog=256)
-            (self.folder / "config.json").write_text(
-                json.dumps({"settings": OPTIONS, "seed": "1f", "limits": {"sockets": 256}})
-            )
+            (self.folder / "config.json").write_text(json.dumps(CONFIG))
         door = door or ("127.0.0.1", free_port())
         environ = {
             "RELAY_NAME": "n0", "RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
@@ -347,14 +346,15 @@
         command = [sys.executable, "-m", "grebestack", *arguments]
         self.processes.append(subprocess.Popen(command, env=os.environ | environ))
 
-        def ready() -> bool:
-            assert self.process.poll() is None, "the program ended"
-            try:
-                return call(self.front, "GET", "/health/ready", b"", {})[0] == 200
-            except OSError:
-                return False
+        wait_until(self.ready)
 
-        wait_until(ready)
+    def ready(self) -> bool:
+        """Whether the newest dispatcher, which must be running, says that it is ready."""
+        assert self.process.poll() is None, "the program ended"
+        try:
+            return call(self.front, "GET", "/health/ready", b"", {})[0] == 200
+        except OSError:
+            return False
 
     def start_appliance(
         self, source: str = "discovery", settings: str = "", consul_wait: str = ""
--- a/tests/test_crossings_program.py
+++ b/tests/test_crossings_program.py
@@ -11,51 +11,49 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from tests.standins import OPTIONS, World, call, wait_until
+from tests.standins import CONFIG, World, call, wait_until
+from tests.test_program import job
 
 
-def job(call_id: str, job_class: str = "reading") -> dict[str, str]:
-    """The headers of a job."""
-    return {"X-Call-Id": call_id, "X-Call-Class": job_class, "Idempotency-Key": call_id}
-
-
-def ready(world: World) -> bool:
-    try:
-        return call(world.front, "GET", "/health/ready", b"", {})[0] == 200
-    except OSError:
-        return False
+def start_by_pipe(world: World, **more: Any) -> tuple[subprocess.Popen[bytes], Path]:
+    """Start a dispatcher that reads its configuration from a pipe: it waits there until all is written."""
+    pipe = world.folder / "config"
+    os.mkfifo(pipe)
+    environ = {
+        "RELAY_NAME": "n0", "RELAY_CONFIG": str(pipe), "RELAY_LISTEN": f"127.0.0.1:{world.front[1]}",
+        "RELAY_DISCOVERY": f"127.0.0.1:{world.discovery.address[1]}",
+    }
+    process = subprocess.Popen([sys.executable, "-m", "grebestack"], env=os.environ | environ, **more)
+    world.processes.append(process)
+    return process, pipe
 
 
 def test_a_new_configuration_told_during_the_start_is_read_and_ends_nothing(tmp_path: Path) -> None:
     """SIGHUP ended a process that was just starting. Here it comes while the configuration is being read."""
     world, other = World(tmp_path), World(tmp_path)
-    pipe = tmp_path / "config"
-    os.mkfifo(pipe)
     try:
         world.runner("s-old")
         runner = other.runner("s-new")
         other.front = world.front
-        environ = {
-            "RELAY_NAME": "n0", "RELAY_CONFIG": str(pipe), "RELAY_LISTEN": f"127.0.0.1:{world.front[1]}",
-            "RELAY_DISCOVERY": f"127.0.0.1:{world.discovery.address[1]}",
-        }
-        process = subprocess.Popen([sys.executable, "-m", "grebestack"], env=os.environ | environ)
-        world.processes.append(process)
-        config = {"settings": OPTIONS, "seed": "1f", "limits": {"sockets": 256}}
+        process, pipe = start_by_pipe(world)
         with pipe.open("w") as out:  # opened once the process reads
             process.send_signal(signal.SIGHUP)
             time.sleep(0.1)  # it makes no difference to a process that is still there
-            json.dump(config, out)
+            json.dump(CONFIG, out)
             pipe.unlink()  # it reads again, and moves
             moved = {"discovery": f"127.0.0.1:{other.discovery.address[1]}"}
-            pipe.write_text(json.dumps(config | moved))
-        wait_until(lambda: ready(world) and other.discovery.watches > 0)
+            pipe.write_text(json.dumps(CONFIG | moved))
+        wait_until(lambda: world.ready() and other.discovery.watches > 0)
         assert process.poll() is None
-        wait_until(lambda: call(world.front, "POST", "/api", b"", job(os.urandom(4).hex()))[0] == 200
-                   and len(runner.jobs) > 0)
+
+        def served() -> bool:
+            return call(world.front, "POST", "/api", b"", job(os.urandom(4).hex(), "reading"))[0] == 200
+
+        wait_until(lambda: served() and len(runner.jobs) > 0)
     finally:
         world.close()
         other.close()
@@ -66,13 +64,13 @@
     """Also while discovery is down; with a client that rests, one that has sent half, and a job that runs."""
     runner = world.runner("s-1", 0.6)
     front = world.start()
-    assert call(front, "POST", "/api", b"", job("first"))[0] == 200
+    assert call(front, "POST", "/api", b"", job("first", "reading"))[0] == 200
     world.discovery.mute = silent
     resting, half = socket.create_connection(front, 30), socket.create_connection(front, 30)
     resting.sendall(b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
     assert resting.recv(4096).startswith(b"HTTP/1.1 200")
     half.sendall(b"POST /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: half\r\nX-Call-Class: reading\r\n")
-    running = world.in_background(lambda: call(front, "POST", "/api", b"", job("running")))
+    running = world.in_background(lambda: call(front, "POST", "/api", b"", job("running", "reading")))
     wait_until(lambda: len(runner.jobs) == 2)
     for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
         world.process.send_signal(number)
@@ -93,20 +91,11 @@
 
 def test_a_stop_during_the_start_ends_it(tmp_path: Path) -> None:
     world = World(tmp_path)
-    pipe = tmp_path / "config"
-    os.mkfifo(pipe)
     try:
         world.discovery.mute = True
-        environ = {
-            "RELAY_NAME": "n0", "RELAY_CONFIG": str(pipe), "RELAY_LISTEN": f"127.0.0.1:{world.front[1]}",
-            "RELAY_DISCOVERY": f"127.0.0.1:{world.discovery.address[1]}",
-        }
-        process = subprocess.Popen(
-            [sys.executable, "-m", "grebestack"], env=os.environ | environ, stderr=subprocess.PIPE
-        )
-        world.processes.append(process)
+        process, pipe = start_by_pipe(world, stderr=subprocess.PIPE)
         with pipe.open("w") as out:
-            json.dump({"settings": OPTIONS, "seed": "1f", "limits": {"sockets": 256}}, out)
+            json.dump(CONFIG, out)
         wait_until(lambda: listens(world))
         process.send_signal(signal.SIGTERM)  # the list has not come: it is not ready yet, or only just
         _, log = process.communicate(timeout=30)
@@ -140,7 +129,7 @@
     runner = world.runner("s-1")
     front = world.start()
     resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (256, 256))
-    assert call(front, "POST", "/api", b"", job("before"))[0] == 200
+    assert call(front, "POST", "/api", b"", job("before", "reading"))[0] == 200
     world.discovery.mute = True
     crowd: list[socket.socket] = []
     watches = world.discovery.watches
@@ -160,7 +149,7 @@
 
         def served() -> bool:
             try:
-                return call(front, "POST", "/api", b"", job(os.urandom(4).hex()))[0] == 200
+                return call(front, "POST", "/api", b"", job(os.urandom(4).hex(), "reading"))[0] == 200
             except OSError:
                 return False
 
