Frame all of a fleet's connections in one place; config keys of relays and followers

Link's framing and Dialler's one task move to mesh/frames.py, so that followers' connections do not write them a second time. The file's own list of servers is looked at as the file is read, so that a bad entry is one line that names it (it was a traceback at the start). tests/test_layers.py names the one task at its new place.

--- a/grebestack/mesh/link.py
+++ b/grebestack/mesh/link.py
@@ -5,11 +5,12 @@
 import asyncio
 import struct
 from collections.abc import Callable
-from typing import Protocol, cast
+from typing import Protocol
 
 import msgspec
 
 from grebestack.fleet.messages import MOST, VERSION, Hello, Message, encode, message
+from grebestack.mesh.frames import Frames, Opening
 
 HEAD = struct.Struct(">IQ")  # length of the message, and how far the sender's disk has come
 MOST_QUEUED = 4 * MOST  # bytes that the other end has not read
@@ -35,58 +36,34 @@
         """The connection has ended; called once for each that was made."""
 
 
-class Link(asyncio.Protocol):
+class Link(Frames):
     """States: greeting (both say who they are), open, closed."""
 
+    head = HEAD
+    most, most_queued, greet_s = MOST, MOST_QUEUED, GREET_S
+
     def __init__(self, loop: asyncio.AbstractEventLoop, owner: Owner, expects: str = "") -> None:
-        self.loop, self.owner, self.expects = loop, owner, expects
-        self.transport: asyncio.Transport | None = None
+        super().__init__(loop)
+        self.owner, self.expects = owner, expects
         self.peer = ""  # who is at the other end, once it has said so
-        self.rest = b""
-        self.why = ""
-        self.timer: asyncio.TimerHandle | None = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.timer = self.loop.call_later(GREET_S, self.close, "it did not say who it is")
+    def begin(self) -> None:
+        """Say who this member is."""
         self.send(self.owner.greeting())
 
     def send(self, item: Message) -> None:
         """Say something; a peer that does not read is cut off."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        data = encode(item)
-        if len(data) > MOST:
-            self.close(f"a message of {len(data)} bytes; allowed: {MOST}")
-            return
-        if self.transport.get_write_buffer_size() + len(data) > MOST_QUEUED:
-            self.close("it does not read")
-            return
-        self.transport.write(HEAD.pack(len(data), self.owner.told()) + data)
-
-    def data_received(self, data: bytes) -> None:
-        data = self.rest + data
-        at = 0
-        while self.transport is not None and len(data) - at >= HEAD.size:
-            length, last = HEAD.unpack_from(data, at)
-            if length > MOST:
-                self.close(f"a message of {length} bytes; allowed: {MOST}")
-                return
-            begin = at + HEAD.size
-            if len(data) - begin < length:
-                break
-            at = begin + length
-            self._whole(data[begin:at], last)
-        self.rest = data[at:]
-
-    def _whole(self, data: bytes, last: int) -> None:
+        self.write(encode(item), self.owner.told())
+
+    def whole(self, data: bytes, *fields: int) -> None:
+        """A message has come."""
         try:
             item = message(data)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             self.close(f"no message of version {VERSION}: {error}")
             return
         if self.peer:
-            self.owner.heard(self, last, item)
+            self.owner.heard(self, fields[0], item)
         elif not isinstance(item, Hello):
             self.close("it did not say who it is first")
         elif self.expects and item.name != self.expects:
@@ -97,20 +74,11 @@
     def open(self, peer: str) -> None:
         """The other end is who it should be."""
         self.peer = peer
-        if self.timer is not None:
-            self.timer.cancel()
+        self.welcome()
 
-    def close(self, why: str) -> None:
-        """End it now."""
-        self.why = self.why or why
-        if self.transport is not None:
-            self.transport.abort()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-        if self.timer is not None:
-            self.timer.cancel()
-        self.owner.ended(self, self.why or (str(exc) if exc else "it has ended"))
+    def over(self, why: str) -> None:
+        """The connection has ended."""
+        self.owner.ended(self, why)
 
 
 class Dialler:
@@ -124,22 +92,17 @@
         self.tries = 0
         self.link: Link | None = None
         self.stopped = False
-        self.task: asyncio.Task[None] | None = None
+        self.opening: Opening | None = None
 
     def dial(self) -> None:
         """Call it."""
         if not self.stopped and self.link is None:
-            self.task = self.loop.create_task(self._open())
+            self.link = link = Link(self.loop, self.owner, self.name)
+            self.opening = Opening(self.loop, link, self.address, lambda why: self._failed(link))
 
-    async def _open(self) -> None:
-        link = Link(self.loop, self.owner, self.name)
-        self.link = link
-        try:
-            async with asyncio.timeout(1.0):
-                await self.loop.create_connection(lambda: link, *self.address)
-        except (OSError, TimeoutError):
-            if self.link is link:
-                self.ended()
+    def _failed(self, link: Link) -> None:
+        if self.link is link:
+            self.ended()
 
     def ended(self) -> None:
         """There is no connection now; another try follows."""
--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -4,17 +4,21 @@
 
 import json
 import os
+import re
 import tomllib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, fields
 from typing import Any
 
 from grebestack.core.interface import Settings
-from grebestack.protocol.lists import address_of
+from grebestack.protocol.lists import ListReader, address_of
 from grebestack.protocol.settings import WireError, check_figures, keys_of, settings_of
 from grebestack.transport.client import Address
 
 AT_START = ("known", "seed")  # they say how things are at a start alone
+PLACE = r"[\w.-]+/[\w.-]+"
+FOLLOWER_KEYS = "name folder follow place relays members"
+LAID_OVER = ("settings", "servers")  # the sections that a version may have
 NEEDED = (".settings.limits.", ".settings.rules.", ".settings.services[].")
 
 
@@ -132,6 +136,26 @@
     tallies: TalliesConfig | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RelayConfig:
+    """Where followers call a process that serves them."""
+
+    address: Address
+    place: str  # region/zone
+
+
+@dataclass(frozen=True, slots=True)
+class ForceConfig:
+    """The configuration in force of a whole fleet: where it is heard from; see docs/fleet-leases.md."""
+
+    fleet: str
+    follow: bool  # this dispatcher does not vote
+    place: str  # region/zone; empty: not said
+    relays: Mapping[str, RelayConfig]
+    voters: frozenset[str]  # of them all, this one too if it votes; a follower may know none
+    folder: str
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What one dispatcher is told at its start."""
@@ -150,7 +174,9 @@
     listen_fd: int | None = None  # the clients' listening socket, if the platform holds it
     control: Address | None = None  # where operators call; None: nowhere
     keys: frozenset[str] = frozenset()  # the paths of all keys that the file has
-    fleet: FleetConfig | None = None  # None: this dispatcher is alone
+    fleet: FleetConfig | None = None  # None: this dispatcher votes in none
+    force: ForceConfig | None = None  # None: no configuration in force reaches this dispatcher
+    path: str = ""  # of the operator's file; empty: the platform's environment
     audit: AuditConfig | None = None  # None: no record of acts
     membership: MembershipConfig | None = None  # None: discovery feeds the server table itself
 
@@ -299,17 +325,78 @@
     )
 
 
-def _fleet(raw: Mapping[str, Any], own: str, folder: str) -> FleetConfig:
+def _members(raw: Mapping[str, Any]) -> dict[str, Address]:
     members = _table(raw, "members", " ".join(raw.get("members") or ()), within="fleet")
-    if own not in members:
-        raise ValueError(f"[fleet.members] must name this dispatcher, {own!r}; it has {', '.join(members)}")
     try:
         addresses = {name: address_of(str(where)) for name, where in members.items()}
-        listen = address_of(str(raw["listen"])) if "listen" in raw else addresses[own]
     except ValueError as error:
         raise ValueError(f"[fleet] addresses must be HOST:PORT: {error}") from error
     if len(set(addresses.values())) < len(addresses):
         raise ValueError("[fleet.members] must have an address of its own for each")
+    return addresses
+
+
+def _place(raw: Mapping[str, Any], within: str) -> str:
+    value = raw.get("place", "")
+    if not isinstance(value, str) or not re.fullmatch(PLACE, value):
+        raise ValueError(f"[{within}] place must be REGION/ZONE, not {value!r:.60}")
+    return value
+
+
+def _relays(raw: Mapping[str, Any]) -> dict[str, RelayConfig]:
+    relays = _table(raw, "relays", " ".join(raw.get("relays") or ()), within="fleet")
+    found: dict[str, RelayConfig] = {}
+    for name in relays:
+        within = f"fleet.relays.{name}"
+        one = _table(relays, name, "address place", within="fleet.relays")
+        try:
+            address = address_of(str(one.get("address", "")))
+        except ValueError as error:
+            raise ValueError(f"[{within}] address must be HOST:PORT: {error}") from error
+        found[name] = RelayConfig(address, _place(one, within))
+    if len({relay.address for relay in found.values()}) < len(found):
+        raise ValueError("[fleet.relays] must have an address of its own for each")
+    return found
+
+
+def _force(raw: Mapping[str, Any], own: str, folder: str) -> ForceConfig | None:
+    """What a [fleet] says of the configuration in force; None: it does not go through the fleet."""
+    follow = _flag(raw, "follow", "fleet")
+    relays, voters = _relays(raw), frozenset(_members(raw))
+    if "relays" not in raw and not follow:
+        if "place" in raw:
+            raise ValueError("[fleet] place is for a fleet that has [fleet.relays]")
+        return None
+    place = _place(raw, "fleet") if "place" in raw else relays[own].place if own in relays else ""
+    if own in relays and place != relays[own].place:
+        raise ValueError(f"[fleet] place {place!r} is not that of [fleet.relays], {relays[own].place!r}")
+    if follow:
+        if own in voters:
+            raise ValueError(f"[fleet] follow is not for a member; [fleet.members] names {own!r}")
+        if not set(relays) - {own}:
+            raise ValueError("[fleet.relays] must name one relay to follow at least")
+        if not place:
+            raise ValueError("[fleet] place must be REGION/ZONE for a follower; it is not said")
+        if own in relays and not set(relays) & voters:
+            raise ValueError(
+                f"[fleet.members] must name the members of [fleet.relays] that {own!r}, a relay, is to follow"
+            )
+        if extra := sorted(set(raw) - set(FOLLOWER_KEYS.split())):
+            raise ValueError(f"[fleet] {extra[0]} is not for a follower; allowed are {FOLLOWER_KEYS}")
+    return ForceConfig(
+        _word(raw, "name", "fleet"), follow, place, relays, voters,
+        os.path.join(folder, _word(raw, "folder", "fleet")),
+    )
+
+
+def _fleet(raw: Mapping[str, Any], own: str, folder: str) -> FleetConfig:
+    addresses = _members(raw)
+    if own not in addresses:
+        raise ValueError(f"[fleet.members] must name this dispatcher, {own!r}; it has {', '.join(addresses)}")
+    try:
+        listen = address_of(str(raw["listen"])) if "listen" in raw else addresses[own]
+    except ValueError as error:
+        raise ValueError(f"[fleet] addresses must be HOST:PORT: {error}") from error
     term_s = _number(raw, "term_s", 4.0, 0.5, 3600.0)
     tallies = _table(raw, "tallies", "collector path every_s", within="fleet")
     path = _word(tallies, "path", "/")
@@ -388,20 +475,48 @@
     )
 
 
-def _source(source: str, raw: Mapping[str, Any], folder: str) -> ServerSource:
+def _entries(raw: Mapping[str, Any], options: Mapping[str, Any]) -> tuple[Mapping[str, Any], ...]:
+    """The servers that the file itself lists, each looked at now: a list is never taken by half."""
+    entries, reader = raw["list"], ListReader(options)
+    if not isinstance(entries, list) or not all(isinstance(one, dict) for one in entries):
+        raise ValueError(f"[servers] list must be a list of tables, not {entries!r:.60}")
+    for number, entry in enumerate(entries):
+        try:
+            reader.server(entry, strict=True)
+        except ValueError as error:
+            raise ValueError(f"[servers] list[{number}]: {error}") from error
+    return tuple(entries)
+
+
+def _source(source: str, raw: Mapping[str, Any], folder: str, options: Mapping[str, Any]) -> ServerSource:
     if source == "list":
-        return ServerSource(source, entries=tuple(raw["list"]))
+        return ServerSource(source, _entries(raw, options))
     snapshot = os.path.join(folder, _word(raw, "snapshot")) if "snapshot" in raw else ""
     return ServerSource(source, (), snapshot, _consul(raw, folder) if source == "consul" else None)
 
 
-def from_file(path: str) -> Config:
-    """Read an operator's file."""
+def sections(contents: bytes) -> Mapping[str, Any]:
+    """What a version lays over an operator's file. ConfigError: it can't be; names field, value, allowed."""
+    try:
+        raw = tomllib.loads(contents.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"not TOML: {error}") from error
+    if unknown := sorted(set(raw) - set(LAID_OVER)):
+        raise ConfigError(f"unknown key {unknown[0]!r:.60}; allowed are the sections {', '.join(LAID_OVER)}")
+    if not raw:
+        raise ConfigError(f"no section; allowed are {', '.join(LAID_OVER)}, one at least")
+    return raw
+
+
+def from_file(path: str, over: bytes = b"") -> Config:
+    """Read an operator's file; the sections of a version (`over`, in TOML) stand in place of the file's."""
     text = read(path)
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise ConfigError(f"{path}: not TOML: {error}") from error
+    if over:
+        raw |= sections(over)
     try:
         known = {
             "name", "listen", "control", "platform", "sockets", "servers", "membership", "drmaa", "jobs",
@@ -423,10 +538,13 @@
         membership = _membership(_table(raw, "membership", names))
         fleet = _table(
             raw, "fleet",
-            "name listen folder members term_s drift guard_ms return_s pause_s share_servers tallies",
+            "name listen folder members term_s drift guard_ms return_s pause_s share_servers tallies follow"
+            " place relays",
         )
         audit = _table(raw, "audit", "folder keep_mb full_rate clock_off_ms")
         name = str(raw.get("name", "grebestack"))
+        folder = os.path.dirname(path)
+        force = _force(fleet, name, folder) if fleet else None
         options = raw["settings"]
         settings = settings_of(options)
         return Config(
@@ -437,14 +555,16 @@
             settings=settings,
             seed=int.from_bytes(os.urandom(8), "big"),
             sockets=_whole(raw, "sockets", 1024, 128),
-            servers=_source(source, servers, os.path.dirname(path)),
-            drmaa=_drmaa(drmaa, os.path.dirname(path), _jobs(jobs, (c.name for c in settings.classes)))
+            servers=_source(source, servers, folder, options),
+            drmaa=_drmaa(drmaa, folder, _jobs(jobs, (c.name for c in settings.classes)))
             if drmaa else None,
             platform=bool(raw.get("platform", False)),
             control=_control(raw.get("control")),
             membership=membership,
-            fleet=_fleet(fleet, name, os.path.dirname(path)) if fleet else None,
-            audit=_audit(audit, os.path.dirname(path)) if audit else None,
+            fleet=_fleet(fleet, name, folder) if fleet and not (force and force.follow) else None,
+            force=force,
+            path=path,
+            audit=_audit(audit, folder) if audit else None,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: lacks {error}") from error
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -33,7 +33,7 @@
 COROUTINES = {
     "Pools._dial", "Watch._dial", "Dispatcher.run", "Dispatcher._start_drmaa", "Dispatcher._open_door",
     "Dispatcher.listen", "Dispatcher.accept_and_serve", "Dispatcher._begin_upgrade", "Upgrade.begin",
-    "Upgrade._take", "run.main", "Dialler._open", "Fleet.start",
+    "Upgrade._take", "run.main", "Opening._open", "Fleet.start",
 }
 
 
@@ -70,5 +70,5 @@
         walk(ast.parse(path.read_text()), "")
     assert found == COROUTINES
     assert sorted(tasks) == [
-        "Dialler.dial", "Pools.dial", "Upgrade._accept", "Upgrade._adopt", "Watch._open",
+        "Opening.__init__", "Pools.dial", "Upgrade._accept", "Upgrade._adopt", "Watch._open",
     ]
