--- /dev/null
+++ b/grebestack/mesh/configuration.py
@@ -0,0 +1,180 @@
+"""A voter's part in the configuration in force, as it runs: wires the pure part to node, disk and relay."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
+
+from grebestack.fleet.actions import (
+    Apply,
+    ConfigurationAction,
+    Confirmed,
+    Decide,
+    Discard,
+    Keep,
+    Offer,
+    Outcome,
+    Store,
+    Tell,
+)
+from grebestack.fleet.configuration import REGISTER, ConfigurationVoter, View, change
+from grebestack.fleet.feed import Tally
+from grebestack.fleet.register import Value
+from grebestack.fleet.versions import Version
+from grebestack.mesh.contents import Contents
+from grebestack.mesh.follower import OwnRelay, Take
+from grebestack.mesh.node import Node
+from grebestack.mesh.store import Files
+from grebestack.mesh.telling import tell
+
+log = logging.getLogger(__name__)
+TASK = "configuration"  # what voters say to each other goes under this
+
+
+class ConfigurationNode:
+    """One voter's. `take` is called on the loop for each version that is to be in force here.
+
+    OSError and FolderTakenError: its folder can't be used.
+    """
+
+    def __init__(self, node: Node, folder: str, take: Take, files: Files | None = None) -> None:
+        self.node, self.loop, self.clock, self.take = node, node.loop, node.clock, take
+        settings = node.settings
+        self.contents = Contents(node.loop, folder, settings.fleet, files)
+        self.held = self.contents.open()
+        for doubt in self.held.doubts:
+            log.warning("configuration_doubted", extra={"kv": {"why": doubt}})
+        self.voter = ConfigurationVoter(
+            settings.name, settings.fleet, self.held.life, node.random, self.clock()
+        )
+        self.relay: OwnRelay | None = None
+        self.settled: Callable[[], None] = lambda: None  # called once a version or a majority's word has come
+        self.tickets = 0
+        self.asked: dict[int, Callable[[Outcome], None]] = {}  # by ticket
+        self.counted = dict.fromkeys(("messages_in", "messages_out", "bytes_in", "bytes_out"), 0)
+        self.timer: asyncio.TimerHandle | None = None
+        self.actions: deque[ConfigurationAction] = deque()
+        self.running = self.stopped = False
+
+    @property
+    def version(self) -> Version:
+        """The version in force here."""
+        return self.voter.version
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Messages and bytes each way among voters, for the configuration alone."""
+        return self.counted
+
+    def shown(self) -> str:
+        """The version in force, and who has it."""
+        return "; ".join(self.voter.shown(self.clock()))
+
+    def start(self) -> None:
+        """Begin."""
+        self.node.words[TASK] = self._word
+        self._run(self.voter.start(self.clock(), list(self.held.versions), self.held.kept))
+
+    def stop(self) -> None:
+        """End."""
+        self.stopped = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.contents.close()
+
+    def propose(self, contents: bytes, ended: Callable[[Outcome], None]) -> None:
+        """Have contents be in force; `ended` tells how it went, once."""
+        self.tickets += 1
+        self.asked[self.tickets] = ended
+        since_ms = time.time_ns() // 1_000_000
+        self._run(self.voter.propose(self.clock(), self.tickets, contents, since_ms, self._view()))
+
+    def tallied(self, tally: Tally) -> None:
+        """The word of a relay on its followers."""
+        if not self.stopped:
+            self._run(self.voter.tallied(self.clock(), tally, self._view()))
+
+    def _view(self) -> View:
+        """This voter's disk and set, at this moment."""
+        member = self.node.member
+        slot = member.voter.shelf.slots.get(REGISTER)
+        accepted = slot.value.number if slot is not None and isinstance(slot.value, Version) else 0
+        roll = member.roll
+        return View(
+            accepted if member.voter.votes else -1, roll.epoch, roll.names(), roll.majority,
+            frozenset(self.node.open),
+        )
+
+    def _word(self, name: str, body: bytes) -> None:
+        self.counted["messages_in"] += 1
+        self.counted["bytes_in"] += len(body)
+        if not self.stopped:
+            self._run(self.voter.heard(self.clock(), name, body, self._view()))
+
+    def _tick(self) -> None:
+        self.timer = None
+        self._run(self.voter.tick(self.clock(), self._view()))
+
+    def _run(self, actions: Iterable[ConfigurationAction]) -> None:
+        self.actions.extend(actions)
+        if self.running:  # what is done calls back: it is done after what was asked for before
+            return
+        self.running = True
+        try:
+            while self.actions and not self.stopped:
+                self._do(self.actions.popleft())
+        finally:
+            self.running = False
+        if self.stopped:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        now = self.clock()
+        self.timer = self.loop.call_later(max(0.0, self.voter.due_ms(now) - now) / 1000.0, self._tick)
+
+    def _do(self, action: ConfigurationAction) -> None:
+        if isinstance(action, Tell):
+            self.counted["messages_out"] += 1
+            self.counted["bytes_out"] += len(action.body)
+            self.node.say(action.to, TASK, action.body)
+        elif isinstance(action, Keep):
+            self.contents.keep(action.digest, action.contents, partial(self._kept, action.digest))
+        elif isinstance(action, Discard):
+            self.contents.discard(action.digest)
+        elif isinstance(action, Store):
+            stored = partial(self._stored, action.version.number)
+            self.contents.store(action.version, action.contents, action.beside, stored)
+        elif isinstance(action, Apply):
+            why = self.take(action.version, action.contents)
+            self._run(self.voter.taken(self.clock(), action.version.number, why))
+            self.settled()
+        elif isinstance(action, Offer):
+            if self.relay is not None:
+                self.relay.offer(action.version, action.contents)
+        elif isinstance(action, Confirmed):
+            if self.relay is not None:
+                self.relay.confirmed(action.at_ms)
+            self.settled()
+        elif isinstance(action, Decide):
+            self.node.change(REGISTER, change(action.version), self._registered)
+        elif isinstance(action, Outcome):
+            if (ended := self.asked.pop(action.ticket, None)) is not None:
+                ended(action)
+        else:
+            tell(action)
+
+    def _kept(self, digest: str, why: str) -> None:
+        if not self.stopped:
+            self._run(self.voter.kept(self.clock(), digest, why))
+
+    def _stored(self, number: int, why: str) -> None:
+        if not self.stopped:
+            self._run(self.voter.stored(self.clock(), number, why))
+
+    def _registered(self, known: bool, value: Value) -> None:
+        if not self.stopped:
+            self._run(self.voter.registered(self.clock(), known, value, self._view()))
--- /dev/null
+++ b/grebestack/mesh/feed.py
@@ -0,0 +1,55 @@
+"""One connection between a follower and a relay."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+import msgspec
+
+from grebestack.fleet.feed import FORM, MOST, Said, decode
+from grebestack.fleet.waits import GREET_MS
+from grebestack.mesh.frames import Frames, Traffic
+
+
+class FeedOwner(Protocol):
+    """Who the connections belong to."""
+
+    def connected(self, link: FeedLink) -> None:
+        """The connection is up."""
+
+    def heard(self, link: FeedLink, message: Said) -> None:
+        """A message has come."""
+
+    def ended(self, link: FeedLink, why: str) -> None:
+        """The connection has ended; called once for each that was up."""
+
+
+class FeedLink(Frames):
+    """Whole messages each way; `number` is what the pure part knows it by."""
+
+    most, most_queued, greet_s = MOST, 2 * MOST, GREET_MS / 1000.0
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, owner: FeedOwner, number: int, traffic: Traffic
+    ) -> None:
+        super().__init__(loop, traffic)
+        self.owner, self.number = owner, number
+
+    def begin(self) -> None:
+        """The connection is up."""
+        self.owner.connected(self)
+
+    def whole(self, data: bytes, *fields: int) -> None:
+        """A message has come."""
+        try:
+            item = decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self.close(f"no message of form {FORM}: {error}")
+            return
+        self.welcome()
+        self.owner.heard(self, item)
+
+    def over(self, why: str) -> None:
+        """The connection has ended."""
+        self.owner.ended(self, why)
--- /dev/null
+++ b/grebestack/mesh/follower.py
@@ -0,0 +1,212 @@
+"""A follower as it runs: the pure follower, its one connection, its disk and the loop's time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import time
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import Protocol
+
+from grebestack.fleet.actions import Apply, Close, Confirmed, Dial, FollowerAction, Gathered, Offer, Say, Store
+from grebestack.fleet.feed import Said, Tally, encode
+from grebestack.fleet.follower import Follower
+from grebestack.fleet.versions import Version
+from grebestack.mesh.contents import Contents, Held
+from grebestack.mesh.feed import FeedLink
+from grebestack.mesh.frames import Opening, Traffic
+from grebestack.mesh.store import Files
+from grebestack.mesh.telling import monotonic_ms, tell
+
+log = logging.getLogger(__name__)
+Take = Callable[[Version, bytes], str]  # puts a version in force; why it is refused, or nothing
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAddress:
+    """Where a relay is called, and where it stands."""
+
+    address: tuple[str, int]
+    place: str  # region/zone
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerSettings:
+    """What a follower is told by the operators' file."""
+
+    name: str
+    fleet: str
+    place: str  # region/zone
+    relays: Mapping[str, RelayAddress]  # that it may follow
+    folder: str  # empty: it keeps nothing on a disk
+
+
+class OwnRelay(Protocol):
+    """The relay of a process that follows and is followed."""
+
+    def offer(self, version: Version, contents: bytes) -> None:
+        """A decided version, checked."""
+
+    def confirmed(self, at_ms: float) -> None:
+        """At that instant a majority knew nothing newer."""
+
+
+class FollowerNode:
+    """One follower. `take` is called on the loop for each version that is to be in force.
+
+    OSError and FolderTakenError: its folder can't be used.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, settings: FollowerSettings, take: Take,
+        clock: Callable[[], float] = monotonic_ms, random: Random | None = None, files: Files | None = None,
+        relays: bool = False,
+    ) -> None:
+        self.loop, self.settings, self.take, self.clock = loop, settings, take, clock
+        self.contents = Contents(loop, settings.folder, settings.fleet, files) if settings.folder else None
+        held = self.contents.open() if self.contents is not None else Held(life=time.time_ns() // 1_000_000)
+        for doubt in held.doubts:
+            log.warning("configuration_doubted", extra={"kv": {"why": doubt}})
+        self.held = held.versions
+        places = {name: relay.place for name, relay in settings.relays.items()}
+        self.follower = Follower(
+            settings.name, settings.fleet, settings.place, held.life, places,
+            random or Random(int.from_bytes(os.urandom(8), "big")), relays,
+        )
+        self.relay: OwnRelay | None = None
+        self.settled: Callable[[], None] = lambda: None  # called once a version or a relay's word has come
+        self.traffic = Traffic()
+        self.dials = 0
+        self.link: FeedLink | None = None
+        self.opening: Opening | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.actions: deque[FollowerAction] = deque()
+        self.running = self.stopped = False
+
+    @property
+    def version(self) -> Version:
+        """The version in force."""
+        return self.follower.version
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Messages and bytes each way, and connections that were tried."""
+        return self.traffic.counts() | {"dials": self.dials}
+
+    def shown(self) -> str:
+        """Its version, by which relay, and for how long it has heard nothing."""
+        return self.follower.shown(self.clock())
+
+    def start(self) -> None:
+        """Follow from now on."""
+        held, self.held = self.held, ()
+        self._run(self.follower.start(self.clock(), held))
+
+    def stop(self) -> None:
+        """End."""
+        self.stopped = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.link is not None:
+            self.link.close("stopping")
+        if self.contents is not None:
+            self.contents.close()
+
+    def tallied(self, tally: Tally) -> None:
+        """The word of this process's own relay, or of one below it, goes upstream."""
+        self._run(self.follower.tallied(self.clock(), tally))
+
+    # The link's owner.
+
+    def connected(self, link: FeedLink) -> None:
+        """The connection that was dialled is up."""
+        if self.link is link:
+            self._run(self.follower.connected(self.clock(), link.number))
+
+    def heard(self, link: FeedLink, message: Said) -> None:
+        """A message has come."""
+        if self.link is link:
+            self._run(self.follower.heard(self.clock(), link.number, message))
+
+    def ended(self, link: FeedLink, why: str) -> None:
+        """The connection has ended, or could not be made."""
+        if self.link is link:
+            self.link = None
+            self._run(self.follower.lost(self.clock(), link.number, why))
+
+    # What the pure part asks for.
+
+    def _tick(self) -> None:
+        self.timer = None
+        self._run(self.follower.tick(self.clock()))
+
+    def _run(self, actions: Iterable[FollowerAction]) -> None:
+        self.actions.extend(actions)
+        if self.running:  # what is done calls back: it is done after what was asked for before
+            return
+        self.running = True
+        try:
+            while self.actions and not self.stopped:
+                self._do(self.actions.popleft())
+        finally:
+            self.running = False
+        if self.stopped:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        now = self.clock()
+        after_ms = max(0.0, self.follower.due_ms(now) - now)
+        self.timer = self.loop.call_later(after_ms / 1000.0, self._tick)
+
+    def _do(self, action: FollowerAction) -> None:
+        if isinstance(action, Say):
+            if self.link is not None and self.link.number == action.link:
+                self.link.write(encode(action.message))
+        elif isinstance(action, Dial):
+            self._dial(action)
+        elif isinstance(action, Close):
+            if self.link is not None and self.link.number == action.link:
+                link, self.link = self.link, None
+                link.close(action.why)
+        elif isinstance(action, Store):
+            self._store(action)
+        elif isinstance(action, Apply):
+            why = self.take(action.version, action.contents)
+            self._run(self.follower.taken(self.clock(), action.version.number, why))
+            self.settled()
+        elif isinstance(action, Offer):
+            if self.relay is not None:
+                self.relay.offer(action.version, action.contents)
+        elif isinstance(action, Confirmed):
+            if self.relay is not None:
+                self.relay.confirmed(action.at_ms)
+            self.settled()
+        elif isinstance(action, Gathered):
+            self._run(self.follower.tallied(self.clock(), action.tally))
+        else:
+            tell(action)
+
+    def _dial(self, dial: Dial) -> None:
+        if self.link is not None:
+            self.link.close("another is dialled")
+        self.dials += 1
+        self.link = link = FeedLink(self.loop, self, dial.link, self.traffic)
+        address = self.settings.relays[dial.relay].address
+        self.opening = Opening(self.loop, link, address, partial(self.ended, link))
+
+    def _store(self, store: Store) -> None:
+        number = store.version.number
+
+        def done(why: str) -> None:
+            if not self.stopped:
+                self._run(self.follower.stored(self.clock(), number, why))
+
+        if self.contents is None:
+            done("")
+        else:
+            self.contents.store(store.version, store.contents, store.beside, done)
--- a/grebestack/mesh/node.py
+++ b/grebestack/mesh/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import os
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -20,10 +19,10 @@
 from grebestack.fleet.shelf import Shelf
 from grebestack.mesh.link import Dialler, Link
 from grebestack.mesh.store import Files, Store
+from grebestack.mesh.telling import monotonic_ms, tell
 
 log = logging.getLogger(__name__)
 Address = tuple[str, int]
-_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 DIAL_S, DIAL_MOST_S = 0.1, 0.6
 ANEW_S, ANEW_MOST_S = 1.0, 30.0  # a disk that can't be begun anew is tried again after this
 
@@ -41,11 +40,6 @@
     terms: Terms = field(default_factory=Terms)
 
 
-def monotonic_ms() -> float:
-    """The time in milliseconds, while the machine sleeps too: a holder that wakes finds its term over."""
-    return time.clock_gettime(_CLOCK) * 1000.0
-
-
 class Node:
     """One member. `token` says at each act whether a task is this member's."""
 
@@ -254,8 +248,7 @@
             elif isinstance(action, Write):
                 self.store.append(encode(action.record))
             elif isinstance(action, Told):
-                level = logging.DEBUG if action.detail else logging.INFO
-                log.log(level, action.event, extra={"kv": action.kv})
+                tell(action)
             elif isinstance(action, Turned):
                 if (turned := self.turned.get(action.task)) is not None:
                     self.loop.call_soon(turned)
--- /dev/null
+++ b/grebestack/mesh/relay.py
@@ -0,0 +1,114 @@
+"""A relay as it runs: the pure relay, its listener, its followers' connections and the loop's time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from grebestack.fleet.actions import Close, Gathered, RelayAction, Say
+from grebestack.fleet.feed import Said, Tally, encode
+from grebestack.fleet.relay import Relay
+from grebestack.fleet.versions import Version
+from grebestack.mesh.feed import FeedLink
+from grebestack.mesh.frames import Traffic
+from grebestack.mesh.telling import monotonic_ms, tell
+
+log = logging.getLogger(__name__)
+BACKLOG = 1024  # a zone's followers that come back at the same moment
+GREETING = 256  # connections beyond those served, which have not said yet who they are or go again
+
+
+class RelayServer:
+    """Serves followers. `gathered` is told the relay's word on them."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, relay: Relay, address: tuple[str, int],
+        gathered: Callable[[Tally], None], clock: Callable[[], float] = monotonic_ms,
+    ) -> None:
+        self.loop, self.relay, self.address, self.gathered, self.clock = loop, relay, address, gathered, clock
+        self.links: dict[int, FeedLink] = {}
+        self.numbers = 0
+        self.traffic = Traffic()
+        self.server: asyncio.Server | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.stopped = False
+        self.last: tuple[Said | None, bytes] = None, b""  # a push to all is encoded once
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Messages and bytes each way, followers that are connected, their connections so far."""
+        return self.traffic.counts() | {"links": len(self.links), "accepted": self.numbers}
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await self.loop.create_server(self.accept, *self.address, backlog=BACKLOG)
+        log.info("relay_listening", extra={"kv": {"address": ":".join(map(str, self.address))}})
+        self._run([])
+
+    def stop(self) -> None:
+        """End."""
+        self.stopped = True
+        if self.server is not None:
+            self.server.close()
+        if self.timer is not None:
+            self.timer.cancel()
+        for link in list(self.links.values()):
+            link.close("stopping")
+
+    def accept(self) -> FeedLink:
+        """A connection that a follower has made."""
+        self.numbers += 1
+        return FeedLink(self.loop, self, self.numbers, self.traffic)
+
+    def offer(self, version: Version, contents: bytes) -> None:
+        """A decided version, checked: pushed at once if it is newer."""
+        self._run(self.relay.offer(self.clock(), version, contents))
+
+    def confirmed(self, at_ms: float) -> None:
+        """At that instant a majority knew nothing newer than what is offered."""
+        self._run(self.relay.confirmed(self.clock(), at_ms))
+
+    # The links' owner.
+
+    def connected(self, link: FeedLink) -> None:
+        """A follower's connection is up; it speaks first."""
+        if self.stopped or len(self.links) >= self.relay.most + GREETING:
+            link.close("too many connections")
+        else:
+            self.links[link.number] = link
+
+    def heard(self, link: FeedLink, message: Said) -> None:
+        """A message has come."""
+        if not self.stopped and self.links.get(link.number) is link:
+            self._run(self.relay.heard(self.clock(), link.number, message))
+
+    def ended(self, link: FeedLink, why: str) -> None:
+        """A connection has ended."""
+        if self.links.pop(link.number, None) is not None and not self.stopped:
+            self._run(self.relay.lost(self.clock(), link.number, why))
+
+    def _tick(self) -> None:
+        self.timer = None
+        self._run(self.relay.tick(self.clock()))
+
+    def _run(self, actions: list[RelayAction]) -> None:
+        for action in actions:
+            if isinstance(action, Say):
+                if (link := self.links.get(action.link)) is not None:
+                    if self.last[0] is not action.message:
+                        self.last = action.message, encode(action.message)
+                    link.write(self.last[1])
+            elif isinstance(action, Close):
+                if (link := self.links.pop(action.link, None)) is not None:
+                    link.close(action.why)
+            elif isinstance(action, Gathered):
+                self.gathered(action.tally)
+            else:
+                tell(action)
+        if self.stopped:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        now = self.clock()
+        self.timer = self.loop.call_later(max(0.0, self.relay.due_ms(now) - now) / 1000.0, self._tick)
--- a/grebestack/mesh/store.py
+++ b/grebestack/mesh/store.py
@@ -238,7 +238,7 @@
                 raise
             old, self.fd = self.fd, fd
             self.files.rename(path + ".new", path)
-            _sync_folder(self.files, self.folder)
+            sync_folder(self.files, self.folder)
             if old >= 0:
                 os.close(old)
             self._remove(former)
@@ -260,7 +260,7 @@
         for name in logs:
             new = os.path.join(self.folder, f"{ASIDE}{number:06d}-{name}")
             self.files.rename(os.path.join(self.folder, name), new)
-        _sync_folder(self.files, self.folder)
+        sync_folder(self.files, self.folder)
         self._remove(names[:-KEPT_ASIDE])
 
     def _remove(self, names: Sequence[str]) -> None:
@@ -268,7 +268,7 @@
             os.unlink(os.path.join(self.folder, name))
 
 
-def _sync_folder(files: Files, folder: str) -> None:
+def sync_folder(files: Files, folder: str) -> None:
     """Have the names in a folder be on the disk."""
     fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
@@ -287,4 +287,4 @@
         file.write(MAGIC + b"".join(frame(n, payload) for n, payload in enumerate(payloads, 1)))
         file.flush()
         os.fsync(file.fileno())
-    _sync_folder(Files(), folder)
+    sync_folder(Files(), folder)
--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -508,9 +508,13 @@
     return raw
 
 
-def from_file(path: str, over: bytes = b"") -> Config:
-    """Read an operator's file; the sections of a version (`over`, in TOML) stand in place of the file's."""
-    text = read(path)
+def from_file(path: str) -> Config:
+    """Read an operator's file."""
+    return from_text(path, read(path))
+
+
+def from_text(path: str, text: str, over: bytes = b"") -> Config:
+    """What an operator's file says; the sections of a version (`over`, in TOML) stand in place of the file's."""
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -35,6 +35,7 @@
     from grebestack.consul.source import ConsulSource
     from grebestack.jobs.service import JobService
     from grebestack.program.auditing import Auditor
+    from grebestack.program.configuring import Configuring
     from grebestack.program.fleet import Fleet
     from grebestack.program.shared import Source
     from grebestack.program.upgrade import Upgrade
@@ -101,6 +102,13 @@
             from grebestack.program import fleet  # only here: the platform's dispatchers share nothing
 
             self.fleet = fleet.Fleet(self, config.fleet)
+        self.configuring: Configuring | None = None
+        if config.force is not None:
+            from grebestack.program import configuring  # only here: nothing of it is on the platform
+
+            node = self.fleet.node if self.fleet is not None else None
+            self.configuring = configuring.Configuring(loop, self, config.force, config.name, node)
+            self.reread = self.configuring.reread
         self.auditor: Auditor | None = None
         if config.audit is not None:
             from grebestack.program import auditing  # only here: the platform gives no disk for it
@@ -223,11 +231,15 @@
         self.config = replace(self.config, known={})  # it may be long, and is of a start alone
         if self.watch is not None:
             self.watch.start()
+        if self.configuring is not None:  # before anybody is served, so that nobody is under an older version
+            if self.fleet is not None:
+                await self.fleet.start()
+            await self.configuring.start()
         if self.config.drmaa is not None:
             await self._start_drmaa(self.config.drmaa)
         if self.upgrade is None or self.upgrade.pact.elder is None:
             await self.listen()
-        if self.fleet is not None:
+        if self.fleet is not None and self.configuring is None:
             await self.fleet.start()
         if self.config.control is not None:
             await self._open_door(self.config.control)
@@ -240,6 +252,8 @@
         await self.done
         self.stopped = True
         self.stop_listening()
+        if self.configuring is not None:
+            self.configuring.stop()
         if self.fleet is not None:
             self.fleet.stop()
         if self.watch is not None:
@@ -327,26 +341,45 @@
         except ConfigError as error:
             log.error("reload_failed", extra={"kv": {"error": error}})
             return
+        self.adopt(config)
+
+    def waits(self, config: Config) -> list[str]:
+        """The fields in which a configuration differs from the one in force and that wait for a restart."""
         fixed = ["name", "listen", "control", "sockets", "drmaa", "platform", "membership", "fleet", "audit"]
+        fixed.append("force")
         if self.config.drmaa is not None:
             fixed.append("options")  # the store's records name classes by their place
         waits = [name for name in fixed if getattr(config, name) != getattr(self.config, name)]
         if self.config.drmaa is None and config.options != self.config.options:
             waits += unmoved(self.config.options, config.options)
-            self._resettle(config)
+        return waits
+
+    def adopt(self, config: Config) -> str:
+        """Take the settings of a checked configuration and move to the server source that it names.
+
+        Why it can't be, or nothing; nothing has changed where it can't.
+        """
         moved = (config.discovery, config.servers) != (self.config.discovery, self.config.servers)
+        settings = (self.config.options, self.config.settings, self.config.keys)
+        waits = self.waits(config)
+        resettled = self.config.drmaa is None and config.options != self.config.options
+        if resettled:
+            self._resettle(config)
         address = ":".join(map(str, config.discovery))
         kv = {"servers": address, "moved": moved, "waits_for_restart": ",".join(waits)}
         log.info("reloaded", extra={"kv": kv})
         if not moved or self.stopped:
-            return
+            return ""
         former = self.watch
         config = replace(self.config, discovery=config.discovery, servers=config.servers)
         try:
             watch = self._source(config, former if isinstance(former, Watch) else None)
         except (ValueError, KeyError, TypeError) as error:  # guards the old source against a malformed list
             log.error("reload_failed", extra={"kv": {"error": repr(error)}})
-            return
+            if resettled:
+                options, former_settings, keys = settings
+                self._resettle(replace(self.config, options=options, settings=former_settings, keys=keys))
+            return f"servers: {error!r}"
         if former is not None:
             former.retire()
         self.config, self.watch = config, watch
@@ -354,6 +387,7 @@
             self.auditor.moved()
         if self.watch is not None:
             self.watch.start()
+        return ""
 
     def _resettle(self, config: Config) -> None:
         former = self.engine.settings
