--- a/grebestack/fleet/actions.py
+++ b/grebestack/fleet/actions.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from grebestack.fleet.feed import Said, Tally
 from grebestack.fleet.messages import Message, Record
+from grebestack.fleet.versions import Version
 
 
 class Peer(NamedTuple):
@@ -63,3 +65,127 @@
 
 
 Action = Send | Write | Cut | Reborn | Told | Turned
+
+
+# Of followers, relays and the voters' configuration.
+
+
+@dataclass(frozen=True, slots=True)
+class Dial:
+    """Connect to a relay under this link number; then `connected`, or `lost`. One link at a time."""
+
+    link: int
+    relay: str
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """Say something over a link. One push is one object to all, so that it can be encoded once."""
+
+    link: int
+    message: Said
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    """Close a link, or give up its dialling; `lost` need not be told of it, and is passed over."""
+
+    link: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Store:
+    """Write a version and its contents, whole and synced, then call `stored`.
+
+    The disk keeps this one and the one with number `beside` (in force until this one is), no others.
+    """
+
+    version: Version
+    contents: bytes
+    beside: int
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Put a version in force and call `taken` with why it was refused, or nothing.
+
+    On a voter or relay its own Relay is told by `Offer`, not by this.
+    """
+
+    version: Version
+    contents: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """Checked and decided: for this process's own relay, `Relay.offer`, if it has one."""
+
+    version: Version
+    contents: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """At this instant of the own clock a majority knew nothing newer: for `Relay.confirmed`."""
+
+    at_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """A relay's word on its followers, its own or one that came over a link.
+
+    On a voter for `ConfigurationVoter.tallied`, on any other relay for `Follower.tallied`.
+    """
+
+    tally: Tally
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Say this to another voter: Word("configuration", body)."""
+
+    to: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Write contents by their digest, synced, then call `ConfigurationVoter.kept`. Not decided yet."""
+
+    digest: str
+    contents: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Discard:
+    """Contents that were kept and are not needed any more."""
+
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Decide:
+    """Change register "configuration" from number `former` to this version, then call `registered`.
+
+    The change is `grebestack.fleet.configuration.change(version)`; with no version it is only read.
+    """
+
+    version: Version | None
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a proposal ended, for whoever asked under this ticket."""
+
+    ticket: int
+    won: bool
+    version: Version  # in force now, as far as known: the proposal, or the one that won
+    why: str  # where it did not win
+    held_by: tuple[str, ...] = ()  # voters that hold the contents
+
+
+FollowerAction = Dial | Say | Close | Store | Apply | Offer | Confirmed | Told
+RelayAction = Say | Close | Gathered | Told
+ConfigurationAction = Tell | Keep | Discard | Store | Apply | Offer | Confirmed | Decide | Outcome | Told
--- a/grebestack/fleet/messages.py
+++ b/grebestack/fleet/messages.py
@@ -10,8 +10,9 @@
 
 from grebestack.fleet.lease import Lease
 from grebestack.fleet.register import Ballot
+from grebestack.fleet.versions import Version
 
-VERSION = 1
+VERSION = 2
 MOST = 1 << 20  # bytes of a message, its length not counted
 
 
@@ -48,7 +49,7 @@
     why: str = ""
 
 
-Held = Lease | Roll | Plan | None  # what a register may hold
+Held = Lease | Roll | Plan | Version | None  # what a register may hold
 SlotOf = tuple[str, Ballot, Ballot, Held]  # register, promised, accepted, value
 
 
--- /dev/null
+++ b/grebestack/fleet/waits.py
@@ -0,0 +1,36 @@
+"""All waits of the configuration in force on its way to followers, and for each single fault their sum. Pure.
+
+Milliseconds; where two are given the wait is drawn between them.
+"""
+
+from __future__ import annotations
+
+BOUND_MS = 9000.0  # from decided to in force at all that can be reached, with one fault
+
+# A follower.
+POLL_MS = (1500.0, 2200.0)  # after it was last answered it asks again
+SOON_MS = (600.0, 1000.0)  # ... where it knows of a newer number that has not come; a relay's own pace too
+ANSWER_MS = 1000.0  # an answer is awaited, else it leaves the relay
+DIAL_MS = 1000.0  # a connection is awaited
+GREET_MS = 700.0  # the welcome is awaited
+PAUSE_MS = (0.0, 300.0)  # before another relay is dialled, doubled with each failure in a row
+PAUSE_MOST_MS = 1000.0
+STALE_MS = 4000.0  # a relay that has known nothing of a majority for so long is left for another
+SETTLED_MS = (20_000.0, 40_000.0)  # where all are stale it stays, then looks round again
+HOME_MS = (60_000.0, 180_000.0)  # away from its first relay for so long it tries that one again
+START_MS = 2000.0  # what is on the disk waits for a relay's word for so long
+
+# A relay.
+RESEND_MS = 1000.0  # what was sent within this is not sent again at a poll
+OVERDUE_MS = 6000.0  # a follower that is connected and has not polled for so long is not heard
+WHOLE_BYTES_S = 16 * 1024 * 1024  # whole contents a second, see docs/design-configuration.md
+WHOLE_MS = 1500.0  # for so long a whole may wait for its turn
+TALLY_MS = (800.0, 1200.0)  # where something has changed
+TALLY_WHOLE_MS = (4000.0, 6000.0)  # the whole word
+
+# Voters.
+BEAT_MS = (800.0, 1000.0)
+READ_MS = (100.0, 400.0)  # before the register is read for what another seems to have decided
+ASK_MS = 800.0  # a change of the register that is not through by then has come to nothing (member.ASK_MS)
+FETCH_MS = 500.0  # contents are asked for at another voter after this
+PROPOSE_MS = 5000.0  # a proposal that is not through by then is not known to be in force
