--- a/grebestack/control/calls.py
+++ b/grebestack/control/calls.py
@@ -6,7 +6,9 @@
 from enum import Enum
 
 MOST_LINE = 256  # bytes of a line, its end not counted
-ALLOWED = "health, cordon ID, uncordon ID, quiesce, resume, fleet, leases, restart, halt, drop ID"
+ALLOWED = (
+    "health, cordon ID, uncordon ID, quiesce, resume, fleet, leases, restart, halt, drop ID, configure PATH"
+)
 
 
 class Verb(Enum):
@@ -22,11 +24,12 @@
     RESTART = "restart"
     HALT = "halt"
     DROP = "drop"
+    CONFIGURE = "configure"
 
     @property
     def named(self) -> bool:
-        """Whether it is said of one server, or of one member of the fleet."""
-        return self in (Verb.CORDON, Verb.UNCORDON, Verb.DROP)
+        """Whether it is said of one server, of one member of the fleet, or of one file."""
+        return self in (Verb.CORDON, Verb.UNCORDON, Verb.DROP, Verb.CONFIGURE)
 
     @property
     def acts(self) -> bool:
@@ -35,8 +38,10 @@
 
     @property
     def of_fleet(self) -> bool:
-        """Whether it is asked of the fleet that the dispatcher is a member of."""
-        return self in (Verb.FLEET, Verb.LEASES, Verb.RESTART, Verb.HALT, Verb.DROP)
+        """Whether it is asked of the fleet that the dispatcher belongs to."""
+        return self in (
+            Verb.FLEET, Verb.LEASES, Verb.RESTART, Verb.HALT, Verb.DROP, Verb.CONFIGURE,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebestack/mesh/contents.py
+++ b/grebestack/mesh/contents.py
@@ -1,12 +1,13 @@
 """The disk of a configuration: each version with its contents a file of its own, written whole and synced.
 
-A file gets its name only once it is on the disk for good, so that never half of one is found under it. What does
-not fit its checksums, its digest or this fleet is put aside with the reason, and never read again.
+A file gets its name only once it is on the disk for good, so that never half of one is found under it. What
+does not fit its checksums, its digest or this fleet is put aside with the reason, and never read again.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import queue
 import threading
@@ -41,7 +42,7 @@
 
 
 class Contents:
-    """One process's versions. What is done is told on the loop; the folder is this process's own until `close`."""
+    """One process's versions, told of on the loop; the folder is this process's own until `close`."""
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, folder: str, fleet: str, files: Files | None = None,
@@ -52,7 +53,7 @@
         self.thread = threading.Thread(target=self._work, name="configuration-disk", daemon=True)
 
     def open(self) -> Held:
-        """Take the folder and read it. OSError: there is none to be had; FolderTakenError: it is another's."""
+        """Take the folder and read it. OSError: there is none to be had; FolderTakenError: in use."""
         self.lock = take(self.folder)
         versions, kept, doubts = list[tuple[Version, bytes]](), dict[str, bytes](), list[str]()
         for name in sorted(os.listdir(self.folder)):
@@ -75,7 +76,7 @@
         return Held(tuple(versions), kept, tuple(doubts), life)
 
     def store(self, version: Version, contents: bytes, beside: int, done: Done) -> None:
-        """Write a version; of others only the one with number `beside` is kept. An older one changes nothing."""
+        """Write a version; of others only the one with number `beside` is kept. An older one is not taken."""
         self.queue.put((lambda: self._store(version, contents, beside), done))
 
     def keep(self, digest: str, contents: bytes, done: Done) -> None:
@@ -116,7 +117,7 @@
         return version, contents
 
     def _life(self) -> int:
-        """Which start this is. It grows though the folder be an old one, as long as the machine's clock does."""
+        """Which start this is. It grows though the folder be an old one, as long as the clock does."""
         path = os.path.join(self.folder, LIFE)
         try:
             former = int(self.files.read(path))
@@ -152,7 +153,8 @@
         fd = self.files.open(new)
         try:
             os.ftruncate(fd, 0)
-            self.files.append(fd, MAGIC + b"".join(frame(n, payload) for n, payload in enumerate(payloads, 1)))
+            data = b"".join(frame(n, payload) for n, payload in enumerate(payloads, 1))
+            self.files.append(fd, MAGIC + data)
             self.files.sync(fd)
         finally:
             os.close(fd)
@@ -163,7 +165,7 @@
         names = [n for n in os.listdir(self.folder) if n.startswith(VERSION) and not n.endswith(NEW)]
         numbers = {name: int(name[len(VERSION) :], 16) for name in names}
         if newer := [number for number in numbers.values() if number > version.number]:
-            raise ValueError(f"number is {version.number}; allowed: {max(newer)} and more, which is on the disk")
+            raise ValueError(f"number is {version.number}; allowed: {max(newer)}, on the disk, and more")
         mine = f"{VERSION}{version.number:016x}"
         self._write(mine, [msgspec.msgpack.encode((self.fleet, version)), contents])
         for name, number in numbers.items():
@@ -171,10 +173,8 @@
                 self._remove(name)
 
     def _remove(self, name: str) -> None:
-        try:
+        with contextlib.suppress(FileNotFoundError):
             os.unlink(self._path(name))
-        except FileNotFoundError:
-            pass
 
     def _put_aside(self, name: str) -> None:
         aside = sorted(n for n in os.listdir(self.folder) if n.startswith(ASIDE))
--- a/grebestack/mesh/follower.py
+++ b/grebestack/mesh/follower.py
@@ -13,7 +13,17 @@
 from random import Random
 from typing import Protocol
 
-from grebestack.fleet.actions import Apply, Close, Confirmed, Dial, FollowerAction, Gathered, Offer, Say, Store
+from grebestack.fleet.actions import (
+    Apply,
+    Close,
+    Confirmed,
+    Dial,
+    FollowerAction,
+    Gathered,
+    Offer,
+    Say,
+    Store,
+)
 from grebestack.fleet.feed import Said, Tally, encode
 from grebestack.fleet.follower import Follower
 from grebestack.fleet.versions import Version
--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -514,7 +514,7 @@
 
 
 def from_text(path: str, text: str, over: bytes = b"") -> Config:
-    """What an operator's file says; the sections of a version (`over`, in TOML) stand in place of the file's."""
+    """What an operator's file says; the sections of a version (`over`, in TOML) stand in its own's place."""
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
--- a/grebestack/program/fleet.py
+++ b/grebestack/program/fleet.py
@@ -15,8 +15,9 @@
 from grebestack.fleet.pacing import Pace
 from grebestack.fleet.tallies import Ask, Counts, Export, Tallies, word
 from grebestack.mesh import store
-from grebestack.mesh.node import Node, NodeSettings, monotonic_ms
+from grebestack.mesh.node import Node, NodeSettings
 from grebestack.mesh.store import Files, FolderTakenError
+from grebestack.mesh.telling import monotonic_ms
 from grebestack.program import paced, shared
 from grebestack.program.attendance import Attendance
 from grebestack.program.config import Config, ConfigError, FleetConfig, StartError, TalliesConfig
--- a/grebestack/program/operations.py
+++ b/grebestack/program/operations.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from grebestack.control.door import Reply
     from grebestack.program.auditing import Auditor
+    from grebestack.program.configuring import Configuring
     from grebestack.program.fleet import Fleet
     from grebestack.routing.interfaces import Clock
     from grebestack.routing.table import ServerTable
@@ -20,6 +21,7 @@
 
     life: Life
     fleet: Fleet | None
+    configuring: Configuring | None
     auditor: Auditor | None
     table: ServerTable
 
@@ -44,6 +46,8 @@
         fleet = self.dispatcher.fleet
         if call.verb in (Verb.RESTART, Verb.HALT) and fleet is not None:
             (fleet.paced.begin if call.verb is Verb.RESTART else fleet.paced.halt)(reply)
+        elif call.verb is Verb.CONFIGURE and self.dispatcher.configuring is not None:
+            self.dispatcher.configuring.configure(call.server, reply)
         else:
             reply(self.carry_out(call))
 
@@ -52,12 +56,7 @@
         if call.verb is Verb.HEALTH:
             return self._health()
         if call.verb.of_fleet:
-            fleet = self.dispatcher.fleet
-            if fleet is None:
-                return Answer(False, "this dispatcher is a member of no fleet")
-            if call.verb is Verb.DROP:
-                return fleet.drop(call.server)
-            return Answer(True, fleet.shown() if call.verb is Verb.FLEET else fleet.leases())
+            return self._of_fleet(call)
         if call.verb.named:
             return self._cordon(call.server, call.verb is Verb.CORDON)
         life, now = self.dispatcher.life, self.dispatcher.clock.now_ms()
@@ -68,6 +67,19 @@
         self.dispatcher.apply()
         return Answer(True, life.stage.value)
 
+    def _of_fleet(self, call: Call) -> Answer:
+        fleet, configuring = self.dispatcher.fleet, self.dispatcher.configuring
+        if call.verb is Verb.CONFIGURE:
+            return Answer(False, "no configuration goes through a fleet here; the file needs [fleet.relays]")
+        if call.verb is Verb.FLEET and configuring is not None:
+            members = f"{fleet.shown()}; " if fleet is not None else ""
+            return Answer(True, members + configuring.shown())
+        if fleet is None:
+            return Answer(False, "this dispatcher is a member of no fleet")
+        if call.verb is Verb.DROP:
+            return fleet.drop(call.server)
+        return Answer(True, fleet.shown() if call.verb is Verb.FLEET else fleet.leases())
+
     def _health(self) -> Answer:
         life = self.dispatcher.life
         return Answer(life.ready, "ready" if life.ready else f"not ready: {life.stage.value}")
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -34,6 +34,7 @@
     "Pools._dial", "Watch._dial", "Dispatcher.run", "Dispatcher._start_drmaa", "Dispatcher._open_door",
     "Dispatcher.listen", "Dispatcher.accept_and_serve", "Dispatcher._begin_upgrade", "Upgrade.begin",
     "Upgrade._take", "run.main", "Opening._open", "Fleet.start",
+    "Configuring.start", "RelayServer.start",
 }
 
 
