--- a/grebestack/mesh/frames.py
+++ b/grebestack/mesh/frames.py
@@ -107,6 +107,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def leave(self, why: str) -> None:
+        """End it once what was said has left, or after `greet_s` at the latest."""
+        self.why = self.why or why
+        if self.transport is not None:
+            self.transport.close()
+            self.welcome()
+            self.timer = self.loop.call_later(self.greet_s, self.close, why)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         if self.timer is not None:
--- a/grebestack/mesh/relay.py
+++ b/grebestack/mesh/relay.py
@@ -101,7 +101,7 @@
                     link.write(self.last[1])
             elif isinstance(action, Close):
                 if (link := self.links.pop(action.link, None)) is not None:
-                    link.close(action.why)
+                    link.leave(action.why)  # it may have just been told why
             elif isinstance(action, Gathered):
                 self.gathered(action.tally)
             else:
--- a/grebestack/program/config.py
+++ b/grebestack/program/config.py
@@ -513,13 +513,13 @@
     return from_text(path, read(path))
 
 
-def from_text(path: str, text: str, over: bytes = b"") -> Config:
+def from_text(path: str, text: str, over: bytes | None = None) -> Config:
     """What an operator's file says; the sections of a version (`over`, in TOML) stand in its own's place."""
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise ConfigError(f"{path}: not TOML: {error}") from error
-    if over:
+    if over is not None:
         raw |= sections(over)
     try:
         known = {
--- a/grebestack/program/configuring.py
+++ b/grebestack/program/configuring.py
@@ -77,7 +77,7 @@
         self.host = host
         self.path = host.config.path
         self.text = read(self.path)
-        self.contents = b""
+        self.contents: bytes | None = None  # of the version in force; None: none is
 
     def reread(self) -> Config:
         """The local file, read again, under the version in force. ConfigError: it can't be used."""
@@ -111,14 +111,13 @@
             why = self.host.adopt(config)
         kv: dict[str, object] = {"number": version.number, "digest": version.digest}
         if why:
-            log.error("configuration_refused", extra={"kv": kv | {"why": why}})
             return why
         self.contents = contents
         # What is in force is said by what the dispatcher holds now, not by what it was given.
         now = self.host.config
         kv |= {"by": version.by, "since_ms": version.since_ms, "at_ms": round(monotonic_ms(), 1)}
         kv |= {"settings": digest(now.options), "servers": digest([*map(dict, now.servers.entries)])}
-        log.info("configuration_in_force", extra={"kv": kv})
+        log.info("configuration_laid", extra={"kv": kv})
         return ""
 
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -96,6 +96,7 @@
     delay_s: float = 0.0
     slow: int = 0  # bytes at a time, with a pause after each
     half: bool = False  # the next bytes are cut in the middle, and the connection is reset
+    spoil: int = 0  # so many pieces yet to come have a bit flipped in their middle
 
 
 class Proxy:
@@ -143,6 +144,10 @@
                 writer.write(data[: len(data) // 2])
                 await writer.drain()
                 raise ConnectionResetError
+            if way.spoil:
+                way.spoil -= 1
+                middle = len(data) // 2
+                data = data[:middle] + bytes([data[middle] ^ 4]) + data[middle + 1 :]
             for at in range(0, len(data), way.slow or len(data)):
                 writer.write(data[at : at + (way.slow or len(data))])
                 if way.slow:
--- a/tests/cluster_member.py
+++ b/tests/cluster_member.py
@@ -17,7 +17,7 @@
 
 from grebestack import __main__
 from grebestack.mesh.store import Files
-from grebestack.program import fleet
+from grebestack.program import configuring, fleet
 
 TASKS = ("tallies", "second", "third")
 
@@ -56,7 +56,7 @@
 def main() -> int:
     """Run one dispatcher."""
     path, faults, rate = sys.argv[1], sys.argv[2], float(sys.argv[3])
-    fleet.FILES = lambda: FaultyFiles(faults)
+    fleet.FILES = configuring.FILES = lambda: FaultyFiles(faults)
     fleet.CLOCK = lambda: time.monotonic() * 1000.0 * rate
     fleet.EXPORTS = TASKS
     sys.argv = ["grebestack", "--config", path, "--log-level", "debug"]
--- /dev/null
+++ b/tests/test_follower_shell.py
@@ -0,0 +1,445 @@
+"""Followers and relays over real connections in one loop; the file's keys; versions laid over the file."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import struct
+import tempfile
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from grebestack.fleet.feed import MOST, Greeting, Poll, Said, Still, encode
+from grebestack.fleet.relay import Relay
+from grebestack.fleet.versions import MOST_CONTENTS, Version, digest_of
+from grebestack.mesh.feed import FeedLink
+from grebestack.mesh.follower import FollowerNode, FollowerSettings, RelayAddress
+from grebestack.mesh.frames import Traffic
+from grebestack.mesh.relay import RelayServer
+from grebestack.mesh.telling import monotonic_ms
+from grebestack.program.config import Config, ConfigError, from_file
+from grebestack.program.configuring import Laying, read_contents
+from tests.follower_cluster import contents
+from tests.standins import APPLIANCE_SETTINGS
+
+PLACE = "r0/z0"
+
+
+def version(number: int, data: bytes) -> Version:
+    return Version(number, digest_of(data), len(data), "m0", 1)
+
+
+class Wire:
+    """A transport that keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written, self.unread, self.aborted, self.closed = b"", 0, False, False
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return self.unread
+
+    def is_closing(self) -> bool:
+        return self.aborted or self.closed
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class Loop:
+    """Timers that never come."""
+
+    class Handle:
+        def cancel(self) -> None:
+            """Nothing."""
+
+    def call_later(self, *args: object) -> Loop.Handle:
+        return Loop.Handle()
+
+
+class Ear:
+    """Owns one link and keeps what it heard."""
+
+    def __init__(self) -> None:
+        self.messages: list[Said] = []
+        self.why = ""
+
+    def connected(self, link: FeedLink) -> None:
+        """Nothing."""
+
+    def heard(self, link: FeedLink, message: Said) -> None:
+        self.messages.append(message)
+
+    def ended(self, link: FeedLink, why: str) -> None:
+        self.why = why
+
+
+def linked() -> tuple[FeedLink, Ear, Wire]:
+    ear, wire = Ear(), Wire()
+    link = FeedLink(cast(asyncio.AbstractEventLoop, Loop()), ear, 1, Traffic())
+    link.connection_made(cast(asyncio.Transport, wire))
+    return link, ear, wire
+
+
+def framed(*items: Said) -> bytes:
+    return b"".join(struct.pack(">I", len(encode(item))) + encode(item) for item in items)
+
+
+SAID: list[Said] = [Greeting(1, "farm", "f0", 3, PLACE, 0, ""), Poll(4, "d" * 64), Still(5, 7)]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_messages_are_the_same_however_they_are_cut(seed: int) -> None:
+    (link, ear, _), drawn, data = linked(), random.Random(seed), framed(*SAID, *SAID)
+    while data:
+        size = drawn.randint(1, len(data))
+        link.data_received(data[:size])
+        data = data[size:]
+    assert ear.messages == [*SAID, *SAID] and not link.rest
+    assert link.traffic.messages_in == 6 and link.traffic.bytes_in == len(framed(*SAID, *SAID))
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (struct.pack(">I", MOST + 1), f"a message of {MOST + 1} bytes; allowed: {MOST}"),
+        (struct.pack(">I", 3) + b"\xc1\xc1\xc1", "no message of form 1"),
+        (struct.pack(">I", 1) + b"\x01", "no message of form 1"),
+    ],
+)
+def test_what_can_not_be_read_ends_the_link_and_nothing_after_it_is_read(data: bytes, why: str) -> None:
+    link, ear, wire = linked()
+    link.data_received(data + framed(*SAID))
+    assert wire.aborted and why in link.why and not ear.messages
+    link.connection_lost(None)
+    assert why in ear.why
+
+
+def test_who_does_not_read_is_cut_off_and_nothing_more_is_kept_for_it() -> None:
+    link, _, wire = linked()
+    wire.unread = 2 * MOST
+    link.write(b"x")
+    assert wire.aborted and link.why == "it does not read" and not wire.written
+
+
+def test_one_given_up_while_it_was_opened_ends_as_it_comes_up() -> None:
+    ear, wire = Ear(), Wire()
+    link = FeedLink(cast(asyncio.AbstractEventLoop, Loop()), ear, 1, Traffic())
+    link.close("another is dialled")
+    link.connection_made(cast(asyncio.Transport, wire))
+    assert wire.aborted
+
+
+# Over real connections.
+
+
+class Rig:
+    """One loop with a relay and followers that come and go."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.tallies = 0
+        self.nodes: list[FollowerNode] = []
+        self.relays: dict[str, RelayServer] = {}
+
+    async def relay(self, name: str = "m0", fleet: str = "farm", most: int = 2048) -> RelayServer:
+        pure = Relay(name, fleet, 1, random.Random(1), most)
+        server = RelayServer(self.loop, pure, ("127.0.0.1", 0), self._tallied)
+        await server.start()
+        assert server.server is not None
+        server.address = server.server.sockets[0].getsockname()[:2]
+        server.confirmed(monotonic_ms())
+        self.relays[name] = server
+        return server
+
+    def _tallied(self, tally: object) -> None:
+        self.tallies += 1
+
+    def follower(
+        self, name: str, take: Callable[[Version, bytes], str] | None = None, folder: str = ""
+    ) -> FollowerNode:
+        relays = {name: RelayAddress(server.address, PLACE) for name, server in self.relays.items()}
+        settings = FollowerSettings(name, "farm", PLACE, relays, folder)
+        node = FollowerNode(self.loop, settings, take or (lambda version, data: ""))
+        self.nodes.append(node)
+        node.start()
+        return node
+
+    async def until(self, true: Callable[[], object]) -> None:
+        for _ in range(3000):
+            if true():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("it did not happen")
+
+    def close(self) -> None:
+        for node in self.nodes:
+            node.stop()
+        for relay in self.relays.values():
+            relay.stop()
+
+
+def play(script: Callable[[Rig], Coroutine[Any, Any, None]]) -> None:
+    async def run() -> None:
+        rig = Rig()
+        try:
+            await script(rig)
+        finally:
+            rig.close()
+
+    asyncio.run(run())
+
+
+ONE, TWO = contents(5), contents(6)
+
+
+def test_a_version_is_pushed_whole_and_the_next_one_by_difference() -> None:
+    async def script(rig: Rig) -> None:
+        relay = await rig.relay()
+        nodes = [rig.follower(f"f{n}") for n in range(20)]
+        await rig.until(lambda: relay.counts["links"] == 20)
+        relay.offer(version(1, ONE), ONE)
+        await rig.until(lambda: all(node.version.number == 1 for node in nodes))
+        before = relay.counts["bytes_out"]
+        assert before > 20 * len(ONE)
+        await rig.until(lambda: all(seat.number == 1 for seat in relay.relay.seats.values()))
+        relay.offer(version(2, TWO), TWO)
+        await rig.until(lambda: all(node.version.number == 2 for node in nodes))
+        assert relay.counts["bytes_out"] - before < 20 * len(TWO) // 2
+        assert all(node.follower.contents == TWO for node in nodes)
+        assert nodes[0].counts["messages_in"] >= 3 and nodes[0].counts["dials"] == 1
+        await rig.until(lambda: rig.tallies)
+
+    play(script)
+
+
+def test_a_version_that_can_not_be_taken_is_kept_out_and_the_relay_knows_why() -> None:
+    async def script(rig: Rig) -> None:
+        relay = await rig.relay()
+        node = rig.follower("f0", lambda version, data: "mostTries is 6" if version.number == 2 else "")
+        relay.offer(version(1, ONE), ONE)
+        await rig.until(lambda: node.version.number == 1)
+        relay.offer(version(2, TWO), TWO)
+        await rig.until(lambda: [s.why for s in relay.relay.seats.values()] == ["mostTries is 6"])
+        assert node.version.number == 1 and "mostTries is 6" in node.shown()
+        relay.offer(version(3, ONE), ONE)
+        await rig.until(lambda: node.version.number == 3)
+
+    play(script)
+
+
+def test_a_follower_serves_on_under_what_its_disk_has_when_no_relay_answers(tmp_path: Path) -> None:
+    async def first(rig: Rig) -> None:
+        relay = await rig.relay()
+        node = rig.follower("f0", folder=str(tmp_path))
+        relay.offer(version(7, ONE), ONE)
+        await rig.until(lambda: node.version.number == 7)
+
+    async def second(rig: Rig) -> None:
+        await rig.relay()
+        rig.relays["m0"].stop()
+        taken: list[tuple[int, bytes]] = []
+
+        def take(version: Version, data: bytes) -> str:
+            taken.append((version.number, data))
+            return ""
+
+        node = rig.follower("f0", take, str(tmp_path))
+        settled: list[int] = []
+        node.settled = lambda: settled.append(1)
+        await rig.until(lambda: settled)
+        assert taken == [(7, ONE)] and node.version == version(7, ONE)
+        await rig.until(lambda: node.counts["dials"] > 2)  # and it goes on trying
+
+    play(first)
+    play(second)
+
+
+def test_a_follower_goes_to_another_relay_when_its_own_is_lost_full_or_of_another_fleet() -> None:
+    async def script(rig: Rig) -> None:
+        await rig.relay("m0", fleet="ranch")
+        await rig.relay("m1", most=0)
+        good = await rig.relay("m2")
+        lost = await rig.relay("m3")
+        good.offer(version(1, ONE), ONE)
+        lost.offer(version(1, ONE), ONE)
+        nodes = [rig.follower(f"f{n}") for n in range(8)]
+        await rig.until(lambda: all(node.version.number == 1 for node in nodes))
+        lost.stop()
+        good.offer(version(2, TWO), TWO)
+        await rig.until(lambda: all(node.version.number == 2 for node in nodes))
+        assert good.counts["links"] == 8
+
+    play(script)
+
+
+def test_one_that_never_says_who_it_is_is_dropped_and_takes_no_seat() -> None:
+    async def script(rig: Rig) -> None:
+        relay = await rig.relay()
+        reader, writer = await asyncio.open_connection(*relay.address)
+        await rig.until(lambda: relay.counts["links"] == 1)
+        assert await reader.read() == b"" and not relay.links
+        writer.close()
+
+    play(script)
+
+
+# The file.
+
+HEAD = 'name = "a"\nlisten = "127.0.0.1:1"\n[servers]\nsource = "list"\nlist = []\n'
+RELAY = '[fleet.relays.m]\naddress = "h:1"\nplace = "r/z"\n'
+
+
+def load(tmp_path: Path, fleet: str) -> Config:
+    path = tmp_path / "a.toml"
+    path.write_text(f"{HEAD}{fleet}{APPLIANCE_SETTINGS}")
+    return from_file(str(path))
+
+
+@pytest.mark.parametrize(
+    ("fleet", "says"),
+    [
+        ('[fleet]\nfollow = 1\n', "[fleet] follow must be true or false, not 1"),
+        ('[fleet]\nfollow = true\nplace = "r/z"\n', "[fleet.relays] must name one relay to follow at least"),
+        (f"[fleet]\nfollow = true\n{RELAY}", "[fleet] place must be REGION/ZONE for a follower"),
+        (f'[fleet]\nfollow = true\nplace = "zone"\n{RELAY}', "[fleet] place must be REGION/ZONE, not 'zone'"),
+        (
+            f'[fleet]\nfollow = true\nplace = "r/z"\nterm_s = 3\n{RELAY}',
+            "[fleet] term_s is not for a follower; allowed are name folder follow place relays members",
+        ),
+        (
+            f'[fleet]\nfollow = true\nplace = "r/z"\n{RELAY}[fleet.members]\na = "h:2"\n',
+            "[fleet] follow is not for a member; [fleet.members] names 'a'",
+        ),
+        (
+            '[fleet]\nfollow = true\nplace = "r/z"\n[fleet.relays.m]\naddress = "h"\nplace = "r/z"\n',
+            "[fleet.relays.m] address must be HOST:PORT",
+        ),
+        (
+            '[fleet]\nfollow = true\nplace = "r/z"\n[fleet.relays.m]\naddress = "h:1"\n',
+            "[fleet.relays.m] place must be REGION/ZONE, not ''",
+        ),
+        (
+            f'[fleet]\nfollow = true\nplace = "r/z"\n{RELAY}'
+            '[fleet.relays.n]\naddress = "h:1"\nplace = "r/z"\n',
+            "[fleet.relays] must have an address of its own for each",
+        ),
+        (
+            f'[fleet]\nfollow = true\nplace = "r/z"\n{RELAY}'
+            '[fleet.relays.a]\naddress = "h:2"\nplace = "r/z"\n',
+            "[fleet.members] must name the members of [fleet.relays] that 'a', a relay, is to follow",
+        ),
+        (
+            '[fleet]\nplace = "r/y"\n[fleet.members]\na = "h:2"\n'
+            '[fleet.relays.a]\naddress = "h:1"\nplace = "r/z"\n',
+            "[fleet] place 'r/y' is not that of [fleet.relays], 'r/z'",
+        ),
+        (
+            '[fleet]\nplace = "r/z"\n[fleet.members]\na = "h:2"\n',
+            "place is for a fleet that has [fleet.relays]",
+        ),
+        (
+            f'[fleet]\nfollow = true\nplace = "r/z"\n{RELAY}port = 1\n',
+            "[fleet.relays.m] has the unknown key 'port'; known are address place",
+        ),
+    ],
+)
+def test_a_wrong_key_is_named_with_its_value_and_what_is_allowed(
+    tmp_path: Path, fleet: str, says: str
+) -> None:
+    with pytest.raises(ConfigError) as error:
+        load(tmp_path, fleet)
+    assert says in str(error.value)
+
+
+def test_a_follower_a_relay_and_a_voter_are_told_apart(tmp_path: Path) -> None:
+    follower = load(tmp_path, f'[fleet]\nfollow = true\nplace = "r/z"\n{RELAY}')
+    assert follower.fleet is None and follower.force is not None and follower.force.follow
+    voter = load(tmp_path, f'[fleet]\n[fleet.members]\na = "h:2"\n{RELAY}')
+    assert voter.fleet is not None and voter.force is not None and not voter.force.follow
+    alone = load(tmp_path, '[fleet]\n[fleet.members]\na = "h:2"\n')
+    assert alone.fleet is not None and alone.force is None
+
+
+# Versions over the file.
+
+
+class Fake:
+    """A dispatcher that only keeps its configuration."""
+
+    def __init__(self, config: Config, waits: tuple[str, ...] = (), why: str = "") -> None:
+        self.config, self.waiting, self.why = config, waits, why
+
+    def waits(self, config: Config) -> list[str]:
+        return [name for name in self.waiting if config.options.get(name) != self.config.options.get(name)]
+
+    def adopt(self, config: Config) -> str:
+        if not self.why:
+            self.config = config
+        return self.why
+
+
+def laying(tmp_path: Path, **kv: Any) -> Laying:
+    return Laying(Fake(load(tmp_path, f'[fleet]\nfollow = true\nplace = "r/z"\n{RELAY}'), **kv))
+
+
+def test_a_version_stands_in_place_of_the_files_sections_and_stays_over_a_file_read_again(
+    tmp_path: Path,
+) -> None:
+    laid = laying(tmp_path)
+    assert laid.take(version(1, TWO), TWO) == ""
+    assert laid.host.config.options["limits"]["mostTries"] == 6 and len(laid.host.config.servers.entries) == 1
+    (tmp_path / "a.toml").write_text(
+        f'sockets = 2000\n{HEAD}[fleet]\nfollow = true\nplace = "r/z"\n{RELAY}{APPLIANCE_SETTINGS}'
+    )
+    again = laid.reread()
+    assert again.sockets == 2000 and again.options["limits"]["mostTries"] == 6
+    (tmp_path / "a.toml").write_text("half a file")
+    with pytest.raises(ConfigError):
+        laid.reread()
+    assert laid.take(version(2, ONE), ONE) == ""  # what was read last still holds below it
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"\xff", "not TOML"), (b"name =", "not TOML"), (b"", "no section; allowed are settings, servers"),
+        (b'name = "b"\n', "unknown key 'name'; allowed are the sections settings, servers"),
+        (b"[settings]\n", "lacks"),
+        (contents(5).replace(b'"Ready"', b'"Redy"'), "[servers] list[0]: state must be one of"),
+        (contents(5).replace(b'"127.0.0.1:9"', b'"nowhere"'), "[servers] list[0]:"),
+        (contents(5, zones='["here", "there"]'), "settings.zones is ['here', 'there'], which can't change"),
+        (b'[servers]\nsource = "dns"\n', "[servers] has the unknown source 'dns'"),
+    ],
+)
+def test_what_can_not_be_taken_is_named_and_the_version_in_force_stays(
+    tmp_path: Path, data: bytes, why: str
+) -> None:
+    laid = laying(tmp_path, waits=("zones",))
+    assert laid.take(version(1, TWO), TWO) == ""
+    former = laid.host.config
+    assert why in laid.take(version(2, data), data)
+    assert laid.host.config is former and laid.contents == TWO
+
+
+def test_what_the_dispatcher_can_not_put_in_force_is_not_laid_over_the_file_either(tmp_path: Path) -> None:
+    laid = laying(tmp_path, why="servers: it failed")
+    assert laid.take(version(1, TWO), TWO) == "servers: it failed" and laid.contents is None
+
+
+def test_a_file_that_is_to_be_in_force_is_a_regular_one_of_a_bounded_size(tmp_path: Path) -> None:
+    for path, why in ((tmp_path, "no regular file"), (tmp_path / "none", "No such file")):
+        with pytest.raises(ConfigError, match=why):
+            read_contents(str(path))
+    with tempfile.NamedTemporaryFile(dir=tmp_path) as file:
+        file.truncate(MOST_CONTENTS + 1)
+        with pytest.raises(ConfigError, match=f"{MOST_CONTENTS + 1} bytes; allowed: {MOST_CONTENTS}"):
+            read_contents(file.name)
