--- a/grebestack/program/configuring.py
+++ b/grebestack/program/configuring.py
@@ -29,6 +29,7 @@
 from grebestack.program.config import Config, ConfigError, ForceConfig, StartError, check, from_text, read
 
 log = logging.getLogger(__name__)
+SPARE_S = 0.3  # a start waits so long beyond what a version on the disk waits for a relay
 FOLDER = "configuration"  # within the fleet's folder
 # Seams for tests, which no operator's file can reach.
 FILES: Callable[[], Files] = Files
@@ -175,7 +176,7 @@
         part = self.voter or self.follower
         assert part is not None
         part.settled = self._settled
-        self.loop.call_later(2.0 * START_MS / 1000.0, self._settled)
+        self.loop.call_later(START_MS / 1000.0 + SPARE_S, self._settled)
         part.start()
         await self.started
 
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -234,6 +234,8 @@
         if self.configuring is not None:  # before anybody is served, so that nobody is under an older version
             if self.fleet is not None:
                 await self.fleet.start()
+            if self.config.control is not None:
+                await self._open_door(self.config.control)
             await self.configuring.start()
         if self.config.drmaa is not None:
             await self._start_drmaa(self.config.drmaa)
@@ -241,7 +243,7 @@
             await self.listen()
         if self.fleet is not None and self.configuring is None:
             await self.fleet.start()
-        if self.config.control is not None:
+        if self.config.control is not None and self.configuring is None:
             await self._open_door(self.config.control)
         self._when_listed(time.monotonic() + LIST_WAIT_S)
         self._stats()
--- /dev/null
+++ b/tests/test_follower_cluster.py
@@ -0,0 +1,327 @@
+"""A configuration in force among real processes, with faults between them, judged by its history."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import random
+import re
+import signal
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from grebestack.fleet.versions import MOST_CONTENTS
+from grebestack.mesh.telling import monotonic_ms
+from tests.follower_cluster import LATE_MS, FollowerCluster, Lateness, contents
+from tests.standins import wait_until
+
+RUNS = 3  # a run on a machine that was late is repeated, so often at most
+
+
+def play(
+    folder: Path, script: Callable[[FollowerCluster], None], relays: int = 0, followers: int = 3,
+    before: Callable[[FollowerCluster], None] = lambda cluster: None,
+) -> None:
+    """Start all, have a first version in force, play the script, judge."""
+    for run in range(RUNS):
+        place = folder / str(run)
+        place.mkdir()
+        lateness, cluster = Lateness(), FollowerCluster(place, 3, relays, followers)
+        try:
+            before(cluster)
+            for name in cluster.members:
+                cluster.start(name)
+            wait_until(lambda: all(votes(cluster, name) for name in cluster.voters), 60)
+            script(cluster)
+            wrong = cluster.judge()
+        finally:
+            lateness.over = True
+            cluster.close()
+        if wrong and lateness.worst_ms > LATE_MS and all(why.startswith("late: ") for why in wrong):
+            print(f"the machine was {lateness.worst_ms:.0f} ms late: again; {wrong}")
+            continue
+        assert wrong == []
+        return
+    pytest.fail(f"the machine was late in each of {RUNS} runs")
+
+
+def votes(cluster: FollowerCluster, name: str) -> bool:
+    return f"{name}: votes" in cluster.shown(name)
+
+
+def relay_of(cluster: FollowerCluster, name: str) -> str:
+    found = re.search(r"relay (\w+), heard", cluster.shown(name))
+    return found[1] if found else ""
+
+
+def other_voter(cluster: FollowerCluster, name: str) -> str:
+    return next(voter for voter in cluster.voters if voter != name)
+
+
+def rest(cluster: FollowerCluster, *without: str) -> list[str]:
+    return [name for name in cluster.members if name not in without]
+
+
+def back(cluster: FollowerCluster, name: str, number: int) -> None:
+    """Start a process again; it is to have the version too."""
+    cluster.start(name)
+    cluster.due(number, [name])
+    cluster.everywhere(number, [name])
+
+
+def test_a_relay_killed_at_each_step_of_a_change_holds_nobody_up(tmp_path: Path) -> None:
+    def script(cluster: FollowerCluster) -> None:
+        cluster.everywhere(cluster.decide("m0", contents(6)))
+        for step, limit in (("before the push", 7), ("after the push", 8), ("before it is answered", 9)):
+            wait_until(lambda: relay_of(cluster, "f0") and relay_of(cluster, "f1"), 30)
+            relay = relay_of(cluster, "f0")
+            door = other_voter(cluster, relay)
+            mine = [name for name in cluster.followers if relay_of(cluster, name) == relay]
+            cut = {
+                "before the push": lambda r=relay: cluster.cut([r], cluster.followers),
+                "after the push": contextlib.nullcontext,
+                "before it is answered": lambda r=relay: cluster.cut(cluster.followers, [r]),
+            }[step]
+            with cut():
+                number = cluster.decide(door, contents(limit))
+                cluster.due(number, rest(cluster, relay))
+                if step != "before the push":
+                    wait_until(lambda n=number, m=mine: any(cluster.in_force(f) == n for f in m), 30)
+                cluster.kill(relay)
+            cluster.everywhere(number, rest(cluster, relay))
+            back(cluster, relay, number)
+
+    play(tmp_path, script, relays=1)
+
+
+def test_a_voter_lost_changes_nothing_and_without_a_majority_nothing_new_is_in_force(tmp_path: Path) -> None:
+    def script(cluster: FollowerCluster) -> None:
+        cluster.everywhere(cluster.decide("m0", contents(6)))
+        cluster.kill("m2")
+        number = cluster.decide("m0", contents(7))
+        cluster.due(number, rest(cluster, "m2"))
+        cluster.everywhere(number, rest(cluster, "m2"))
+        cluster.kill("m1")
+        began = monotonic_ms()
+        answers = [cluster.ask("m0", contents(limit)) for limit in (8, 9)]
+        assert all(answer.startswith("FAILURE") for answer in answers), answers
+        time.sleep(3.0)
+        assert all(cluster.in_force(name) == number for name in ("m0", *cluster.followers))
+        cluster.judged.powerless.append((began, monotonic_ms()))
+        cluster.start("m1")
+        cluster.start("m2")
+        wait_until(lambda: all(votes(cluster, name) for name in cluster.voters), 60)
+        number = cluster.decide("m2", contents(10))
+        cluster.due(number, cluster.members)
+        cluster.everywhere(number)
+
+    play(tmp_path, script)
+
+
+@pytest.mark.parametrize("way", ["nothing comes", "nothing goes", "no other voter is heard"])
+def test_a_cut_one_way_heals_by_itself(tmp_path: Path, way: str) -> None:
+    def script(cluster: FollowerCluster) -> None:
+        cluster.everywhere(cluster.decide("m0", contents(6)))
+        wait_until(lambda: relay_of(cluster, "f0"), 30)
+        relay = relay_of(cluster, "f0")
+        others = [name for name in cluster.voters if name != relay]
+        begin, end = {
+            "nothing comes": ([relay], cluster.followers), "nothing goes": (cluster.followers, [relay]),
+            "no other voter is heard": (others, [relay]),
+        }[way]
+        with cluster.cut(begin, end):
+            number = cluster.decide(others[0], contents(7))
+            reached = rest(cluster, relay) if way == "no other voter is heard" else list(cluster.members)
+            cluster.due(number, reached)
+            cluster.everywhere(number, reached)
+        cluster.due(number, cluster.members)
+        cluster.everywhere(number)
+
+    play(tmp_path, script)
+
+
+def test_one_that_is_stopped_and_goes_on_catches_up(tmp_path: Path) -> None:
+    def script(cluster: FollowerCluster) -> None:
+        cluster.everywhere(cluster.decide("m0", contents(6)))
+        wait_until(lambda: relay_of(cluster, "f0"), 30)
+        for limit, name in ((7, relay_of(cluster, "f0")), (9, "f1")):
+            door = other_voter(cluster, name)
+            cluster.signal(name, signal.SIGSTOP)
+            number = cluster.decide(door, contents(limit))
+            cluster.due(number, rest(cluster, name))
+            number = cluster.decide(door, contents(limit + 1))
+            cluster.due(number, rest(cluster, name))
+            cluster.everywhere(number, rest(cluster, name))
+            cluster.signal(name, signal.SIGCONT)
+            cluster.due(number, [name])
+            cluster.everywhere(number, [name])
+
+    play(tmp_path, script)
+
+
+def test_old_and_spoilt_disks_put_nothing_old_or_half_in_force(tmp_path: Path) -> None:
+    def script(cluster: FollowerCluster) -> None:
+        cluster.everywhere(cluster.decide("m0", contents(6)))
+        old = {name: cluster.old_disk(name) for name in ("f0", "f1")}
+        number = cluster.decide("m0", contents(7))
+        cluster.everywhere(number)
+        for name in old:
+            cluster.kill(name)
+            old[name]()
+        back(cluster, "f0", number)
+        # f1 reaches nobody: it serves under what it has, says so, and never looks back once it is reached.
+        with cluster.cut(cluster.relays, ["f1"]), cluster.cut(["f1"], cluster.relays):
+            cluster.judged.alone.add(("f1", 2))
+            cluster.start("f1")
+            wait_until(lambda: "version 1" in cluster.shown("f1"), 30)
+            assert [line.number for line in cluster.laid("f1") if line.life == 2] == [1]
+        cluster.due(number, ["f1"])
+        wait_until(lambda: f"version {number}" in cluster.shown("f1"), 30)
+        for name in ("f2", "m2"):
+            cluster.kill(name)
+            for path in (cluster.members[name].folder / "disk" / "configuration").glob("version-*"):
+                data = bytearray(path.read_bytes())
+                data[len(data) // 2] ^= 1
+                path.write_bytes(data)
+            cluster.start(name)
+            cluster.due(number, [name])
+            wait_until(lambda n=name: len({li.life for li in cluster.laid(n) if li.number == number}) == 2, 30)
+            assert cluster.told(name, "configuration_doubted", why="is not what was written")
+
+    play(tmp_path, script)
+
+
+def test_what_is_spoilt_on_the_way_is_not_put_in_force_and_comes_again(tmp_path: Path) -> None:
+    def script(cluster: FollowerCluster) -> None:
+        cluster.everywhere(cluster.decide("m0", contents(6)))
+        for limit in (7, 8):
+            for way in cluster.ways(cluster.relays, cluster.followers):
+                way.spoil = 2
+            number = cluster.decide("m0", contents(limit, servers=[f"s{n}" for n in range(20)]))
+            cluster.due(number, cluster.members)
+            cluster.everywhere(number)
+        assert any(
+            line.get("event", "").startswith("configuration_") and line["event"] != "configuration_laid"
+            for name in cluster.followers for line in cluster.lines(name)
+        )
+
+    play(tmp_path, script)
+
+
+def test_of_two_operators_at_once_one_wins_and_the_other_is_told_by_whom(tmp_path: Path) -> None:
+    def script(cluster: FollowerCluster) -> None:
+        cluster.decide("m0", contents(6))
+        number = 1
+        for turn in range(20):
+            answers: dict[str, str] = {}
+            pair = [(door, contents(10 + 2 * turn + n)) for n, door in enumerate(("m0", "m1"))]
+
+            def ask(door: str, data: bytes, answers: dict[str, str] = answers) -> None:
+                answers[door] = cluster.ask(door, data)
+
+            threads = [threading.Thread(target=ask, args=one) for one in pair]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join(30)
+            won = [door for door, answer in answers.items() if answer.startswith("SUCCESS")]
+            assert won, answers
+            number += len(won)
+            if len(won) == 1:
+                lost = "m1" if won == ["m0"] else "m0"
+                assert won[0] in answers[lost] and str(number) in answers[lost], answers
+                break
+        else:
+            pytest.fail("no two were ever at once")
+        cluster.due(number, cluster.members)
+        cluster.everywhere(number)
+        assert {cluster.in_force(name) for name in cluster.members} == {number}
+
+    play(tmp_path, script, followers=1)
+
+
+def test_what_is_wrong_is_denied_at_the_door_and_refused_where_it_does_not_fit(tmp_path: Path) -> None:
+    def other_zones(cluster: FollowerCluster) -> None:
+        path = cluster.folder / "f1.toml"
+        path.write_text(path.read_text().replace('zones = ["here"]', 'zones = ["here", "there"]'))
+
+    def script(cluster: FollowerCluster) -> None:
+        large = cluster.folder / "large.toml"
+        with large.open("wb") as file:
+            file.truncate(MOST_CONTENTS + 1)
+        for answer, why in (
+            (cluster.shown("m0", f"configure {large}"), f"{MOST_CONTENTS + 1} bytes; allowed: {MOST_CONTENTS}"),
+            (cluster.shown("m0", "configure none.toml"), "No such file"),
+            (cluster.shown("m0", "configure"), "configure takes one ID"),
+            (cluster.ask("m0", contents(6, zones='["x"]')), "settings.zones is ['x'], which can't change"),
+            (cluster.ask("m0", contents(6).replace(b'"Ready"', b'"Redy"')), "list[0]: state must be one of"),
+            (cluster.ask("f0", contents(6)), "f0 does not vote"),
+        ):
+            assert answer.startswith("FAILURE") and why in answer, answer
+        number = cluster.decide("m0", contents(6))
+        assert number == 1
+        cluster.everywhere(number, rest(cluster, "f1"))
+        wait_until(lambda: re.search(r"refused: .*f1.*zones is \['here'\]", cluster.shown("m2")), 30)
+        assert cluster.in_force("f1") == 0 and "zones" in cluster.shown("f1")
+        # A file that is read again keeps the version over it; once it fits, the version is taken.
+        cluster.signal("f0", signal.SIGHUP)
+        wait_until(lambda: cluster.told("f0", "reloaded", moved="False", waits_for_restart=""), 30)
+        assert not cluster.told("f0", "reloaded", moved="True") or cluster.in_force("f0") == number
+        path = cluster.folder / "f1.toml"
+        path.write_text(path.read_text().replace(', "there"', ""))
+        cluster.signal("f1", signal.SIGTERM)
+        back(cluster, "f1", number)
+
+    play(tmp_path, script, followers=2, before=other_zones)
+
+
+KINDS = ("kill a voter", "kill a relay", "stop a relay", "cut from a relay", "cut to a relay", "kill a follower",
+         "old disk", "reset")
+
+
+@pytest.mark.parametrize("seed", [int(os.environ.get("FOLLOWER_SEED", "1"))])
+def test_faults_by_a_seed_one_after_the_other(tmp_path: Path, seed: int) -> None:
+    print(f"FOLLOWER_SEED={seed}")
+
+    def script(cluster: FollowerCluster) -> None:
+        drawn = random.Random(seed)
+        cluster.everywhere(cluster.decide("m0", contents(6)))
+        for turn, kind in enumerate(drawn.sample(KINDS, 4)):
+            name = drawn.choice({
+                "kill a voter": cluster.voters, "kill a follower": cluster.followers,
+                "old disk": cluster.followers, "reset": cluster.followers,
+            }.get(kind, cluster.relays))
+            door = drawn.choice([voter for voter in cluster.voters if voter != name])
+            print(f"{turn}: {kind} {name}, asked for at {door}")
+            restore = cluster.old_disk(name) if kind == "old disk" else lambda: None
+            reached = rest(cluster, name)
+            with contextlib.ExitStack() as over:
+                if kind == "stop a relay":
+                    cluster.signal(name, signal.SIGSTOP)
+                    over.callback(cluster.signal, name, signal.SIGCONT)
+                elif kind == "cut from a relay":
+                    over.enter_context(cluster.cut([name], cluster.followers))
+                elif kind == "cut to a relay":
+                    over.enter_context(cluster.cut(cluster.followers, [name]))
+                elif kind == "reset":
+                    for relay in cluster.relays:
+                        cluster.proxy.reset(name, relay)
+                elif kind != "old disk":
+                    cluster.kill(name)
+                    over.callback(cluster.start, name)
+                number = cluster.decide(door, contents(10 + turn))
+                cluster.due(number, reached)
+                time.sleep(drawn.uniform(0.0, 1.0))
+                cluster.everywhere(number, reached)
+                if kind == "old disk":
+                    cluster.kill(name)
+                    restore()
+                    over.callback(cluster.start, name)
+            cluster.due(number, cluster.members)
+            wait_until(lambda n=number: all(f"version {n}" in cluster.shown(m) for m in cluster.members), 30)
+
+    play(tmp_path, script, relays=1)
