--- a/grebestack/fleet/actions.py
+++ b/grebestack/fleet/actions.py
@@ -88,7 +88,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Close:
-    """Close a link, or give up its dialling; `lost` need not be told of it, and is passed over."""
+    """Close a link, or give up its dialling; what was said before it still goes out.
+
+    `lost` need not be told of it, and is passed over.
+    """
 
     link: int
     why: str
@@ -98,12 +101,14 @@
 class Store:
     """Write a version and its contents, whole and synced, then call `stored`.
 
-    The disk keeps this one and the one with number `beside` (in force until this one is), no others.
+    The disk keeps this one, the one with number `beside` (in force until this one is) and those `also` named
+    (at a start, what it held before anything was in force), no others.
     """
 
     version: Version
     contents: bytes
     beside: int
+    also: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebestack/fleet/relay.py
+++ b/grebestack/fleet/relay.py
@@ -1,15 +1,59 @@
-"""One relay: serves followers the newest version it has, and knows who is behind. Pure."""
+"""One relay: serves followers the newest version it has, and knows who is behind. Pure.
+
+What is small goes at once; whole contents and large differences go by a token bucket in the order in which
+they were wanted, so that many who come at once do not ask for more than a relay bears.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass, replace
+from math import inf
 from random import Random
 
-from grebestack.fleet.actions import RelayAction
-from grebestack.fleet.feed import Said
-from grebestack.fleet.versions import NO_VERSION, Version
+from grebestack.fleet import waits
+from grebestack.fleet.actions import Close, Gathered, RelayAction, Say, Told
+from grebestack.fleet.feed import (
+    FORM,
+    NEVER_MS,
+    Fetch,
+    Full,
+    Greeting,
+    News,
+    Poll,
+    Said,
+    Standing,
+    Still,
+    Tally,
+    Welcome,
+)
+from grebestack.fleet.versions import DIGEST, NO_VERSION, Delta, Version, check, delta_between, wrong
 
 MOST_FOLLOWERS = 2048
+MOST_NAME = 128
+MOST_WHY = 500
+FORMER = 16  # contents of so many former versions are kept for differences
+FORMER_BYTES = 4 * 1024 * 1024
+SMALL = 4096  # bytes that go at once
+SPARE_MS = 500.0  # the same News goes to all that ask within this
+MOST_STANDINGS = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """One follower, as it said last."""
+
+    name: str
+    life: int
+    number: int  # in force there
+    digest: str  # what a difference may be based on
+    heard_ms: float
+    behind_ms: float | None = None  # since when there is a newer one here
+    refused: int = 0
+    why: str = ""
+    sent: int = 0  # the number that was sent last
+    sent_ms: float = -inf
+    linked: bool = True
 
 
 class Relay:
@@ -23,33 +67,305 @@
         floor: Callable[[str], int] = lambda name: 0,
     ) -> None:
         self.name, self.fleet, self.life, self.most = name, fleet, life, most
+        self.random, self.floor = random, floor
         self.version: Version = NO_VERSION
-        raise NotImplementedError
+        self.contents = b""
+        self.confirmed_ms: float | None = None
+        self.seats: dict[int, Seat] = {}
+        self.links: dict[str, int] = {}  # by name
+        self.gone: dict[str, Seat] = {}  # not linked any more, the one that left last at the end
+        self.former: dict[str, bytes] = {}  # contents by digest, the newest last
+        self.deltas: dict[str, Delta] = {}  # to the present version, by base
+        self.news: dict[str, tuple[float, News]] = {}  # made lately, by base; "" for whole
+        self.queue: tuple[int, ...] = ()  # links that wait for their turn
+        self.bytes, self.bytes_ms = float(waits.WHOLE_BYTES_S), 0.0  # the bucket, and when it was looked at
+        self.changed: frozenset[str] = frozenset()  # names, since the last tally
+        self.number_told = -1
+        self.sequence = 0
+        self.tally_ms, self.whole_ms, self.scan_ms = 0.0, 0.0, 0.0
+        self.noted: frozenset[str] = frozenset()
+
+    # What it serves.
 
     def offer(self, now_ms: float, version: Version, contents: bytes) -> list[RelayAction]:
         """A decided version, checked: pushed at once if it is newer."""
-        raise NotImplementedError
+        if why := check(version, contents):
+            return [Told("configuration_wrong", {"relay": self.name, "why": why})]
+        if version.number <= self.version.number:
+            return []
+        self.version, self.contents = version, contents
+        self.deltas, self.news = {}, {}
+        self.former.pop(version.digest, None)
+        self.former[version.digest] = contents
+        while len(self.former) > FORMER or (
+            len(self.former) > 1 and sum(map(len, self.former.values())) > FORMER_BYTES
+        ):
+            del self.former[next(iter(self.former))]
+        actions: list[RelayAction] = []
+        for link, seat in list(self.seats.items()):
+            if seat.number < version.number:
+                if seat.behind_ms is None:
+                    self.seats[link] = replace(seat, behind_ms=now_ms)
+                actions += self._push(now_ms, link)
+        return actions
 
     def confirmed(self, now_ms: float, at_ms: float) -> list[RelayAction]:
         """At `at_ms` a majority knew nothing newer than what is offered."""
-        raise NotImplementedError
+        if self.confirmed_ms is None or at_ms > self.confirmed_ms:
+            self.confirmed_ms = at_ms
+        return []
+
+    def _age(self, now_ms: float) -> int:
+        if self.confirmed_ms is None:
+            return NEVER_MS
+        return max(0, int(now_ms - self.confirmed_ms))
+
+    def _still(self, now_ms: float, link: int) -> Say:
+        return Say(link, Still(self.version.number, self._age(now_ms)))
+
+    def _made(self, now_ms: float, base: str) -> News:
+        """By difference from `base` if its contents are here, else whole; one object for all for a while."""
+        base = base if base in self.former else ""
+        made = self.news.get(base)
+        if made is not None and now_ms - made[0] < SPARE_MS:
+            return made[1]
+        delta = None
+        if base:
+            delta = self.deltas.get(base)
+            if delta is None:
+                delta = self.deltas[base] = delta_between(self.former[base], self.contents)
+        news = News(self.version, self._age(now_ms), delta, None if base else self.contents)
+        self.news[base] = now_ms, news
+        return news
+
+    def _push(self, now_ms: float, link: int) -> list[RelayAction]:
+        """Send the newest, now or in its turn; nothing where it was refused."""
+        seat = self.seats[link]
+        if seat.refused == self.version.number or seat.number >= self.version.number:
+            return []
+        news = self._made(now_ms, seat.digest)
+        if _cost(news) > SMALL:
+            if link not in self.queue:
+                self.queue = (*self.queue, link)
+            return self._serve(now_ms)
+        return [self._sent(now_ms, link, news)]
+
+    def _sent(self, now_ms: float, link: int, news: News) -> Say:
+        self.seats[link] = replace(self.seats[link], sent=self.version.number, sent_ms=now_ms)
+        return Say(link, news)
+
+    def _serve(self, now_ms: float) -> list[RelayAction]:
+        """Those whose turn it is."""
+        grown = self.bytes + (now_ms - self.bytes_ms) * waits.WHOLE_BYTES_S / 1000.0
+        self.bytes, self.bytes_ms = min(grown, waits.WHOLE_BYTES_S * waits.BURST_MS / 1000.0), now_ms
+        actions: list[RelayAction] = []
+        while self.queue and self.bytes > 0.0:
+            link, self.queue = self.queue[0], self.queue[1:]
+            seat = self.seats.get(link)
+            if seat is None or seat.number >= self.version.number or seat.refused == self.version.number:
+                continue
+            news = self._made(now_ms, seat.digest)
+            self.bytes -= _cost(news)
+            actions.append(self._sent(now_ms, link, news))
+        return actions
+
+    # Followers.
 
     def heard(self, now_ms: float, link: int, message: Said) -> list[RelayAction]:
         """A message has come; the first over a link must be a `Greeting`."""
-        raise NotImplementedError
+        seat = self.seats.get(link)
+        if seat is None:
+            if isinstance(message, Greeting):
+                return self._greeted(now_ms, link, message)
+            why = wrong("message", type(message).__name__.lower(), "greeting first")
+            return self._spoilt(link, "", why)
+        self.seats[link] = seat = replace(seat, heard_ms=now_ms)
+        if isinstance(message, Poll):
+            return self._polled(now_ms, link, seat, message)
+        if isinstance(message, Fetch):
+            self.seats[link] = replace(seat, digest="")
+            return self._answer(now_ms, link)
+        if isinstance(message, Tally):
+            if len(message.standings) > MOST_STANDINGS:
+                why = wrong("standings", len(message.standings), f"up to {MOST_STANDINGS}")
+                return self._drop(now_ms, link, why)
+            return [Gathered(message)]
+        why = wrong("message", type(message).__name__.lower(), "poll, fetch or tally")
+        return self._drop(now_ms, link, why)
+
+    def _greeted(self, now_ms: float, link: int, greeting: Greeting) -> list[RelayAction]:
+        name = greeting.name
+        if why := self._why_not(greeting):
+            return self._spoilt(link, name, why)
+        other = self.links.get(name)
+        known = self.seats[other] if other is not None else self.gone.get(name)
+        if known is not None and known.life > greeting.life:
+            why = wrong("life", greeting.life, f"{known.life} and more: a later start of {name} has come")
+            noted = self._note(f"twice/{name}/{greeting.life}", name, why)
+            return [*noted, Say(link, Full(why)), Close(link, why)]
+        actions: list[RelayAction] = []
+        if other is not None:
+            self._leave(now_ms, other)
+            actions.append(Close(other, f"{name} has connected again"))
+        if len(self.seats) >= self.most:
+            why = f"{len(self.seats)} followers; allowed: {self.most}"
+            actions += self._note("full", name, why)
+            return [*actions, Say(link, Full(why)), Close(link, why)]
+        self.gone.pop(name, None)
+        behind = now_ms if greeting.number < self.version.number else None
+        self.seats[link] = Seat(name, greeting.life, greeting.number, greeting.digest, now_ms, behind)
+        self.links[name] = link
+        self.changed |= {name}
+        floor = max(self.floor(name), known.number if known is not None else 0)
+        welcome = Welcome(FORM, self.fleet, self.name, self.most, floor)
+        return [*actions, Say(link, welcome), *self._answer(now_ms, link)]
+
+    def _why_not(self, greeting: Greeting) -> str:
+        name = greeting.name
+        if greeting.form != FORM:
+            return wrong("form", greeting.form, FORM)
+        if greeting.fleet != self.fleet:
+            return wrong("fleet", greeting.fleet, repr(self.fleet))
+        if not 0 < len(name) <= MOST_NAME or not name.isprintable() or " " in name:
+            return wrong("name", name, f"1 to {MOST_NAME} printable characters without spaces")
+        if greeting.life < 0:
+            return wrong("life", greeting.life, "0 and more")
+        return _held_wrong(greeting.number, greeting.digest)
+
+    def _polled(self, now_ms: float, link: int, seat: Seat, poll: Poll) -> list[RelayAction]:
+        if why := _held_wrong(poll.number, poll.digest):
+            return self._drop(now_ms, link, why)
+        actions: list[RelayAction] = []
+        if poll.number < seat.number:
+            why = wrong("number", poll.number, f"{seat.number} and more, as {seat.name} said before")
+            actions += self._note(f"less/{seat.name}", seat.name, why)
+        if (poll.number, poll.refused, poll.why) != (seat.number, seat.refused, seat.why):
+            self.changed |= {seat.name}
+            if poll.refused and poll.refused != seat.refused:
+                kv = {"follower": seat.name, "number": poll.refused, "why": poll.why}
+                actions.append(Told("configuration_follower_refuses", kv))
+        behind = None if poll.number >= self.version.number else seat.behind_ms
+        if behind is None and poll.number < self.version.number:
+            behind = now_ms
+        self.seats[link] = replace(
+            seat, number=poll.number, digest=poll.digest, refused=poll.refused, why=poll.why[:MOST_WHY],
+            behind_ms=behind,
+        )
+        if seat.sent == self.version.number and now_ms - seat.sent_ms < waits.RESEND_MS:
+            return [*actions, self._still(now_ms, link)]  # it may still be on its way
+        return actions + self._answer(now_ms, link)
+
+    def _answer(self, now_ms: float, link: int) -> list[RelayAction]:
+        """The newest if it is newer and may go now; else that there is none, or that it will come."""
+        pushed = self._push(now_ms, link)
+        if any(isinstance(action, Say) and action.link == link for action in pushed):
+            return pushed
+        return [*pushed, self._still(now_ms, link)]
 
     def lost(self, now_ms: float, link: int, why: str) -> list[RelayAction]:
         """A link has ended, or carried what is no message (`why` says so)."""
-        raise NotImplementedError
+        seat = self._leave(now_ms, link)
+        if seat is None:
+            return []
+        return [Told("configuration_follower_lost", {"follower": seat.name, "why": why}, detail=True)]
+
+    def _leave(self, now_ms: float, link: int) -> Seat | None:
+        seat = self.seats.pop(link, None)
+        if seat is not None:
+            self.links.pop(seat.name, None)
+            self.gone.pop(seat.name, None)
+            self.gone[seat.name] = replace(seat, linked=False)
+            self.changed |= {seat.name}
+            while len(self.gone) > self.most:
+                del self.gone[next(iter(self.gone))]
+        return seat
+
+    def _drop(self, now_ms: float, link: int, why: str) -> list[RelayAction]:
+        seat = self._leave(now_ms, link)
+        return self._spoilt(link, seat.name if seat is not None else "", why)
+
+    def _spoilt(self, link: int, name: str, why: str) -> list[RelayAction]:
+        return [Told("configuration_wrong", {"follower": name[:MOST_NAME], "why": why}), Close(link, why)]
+
+    def _note(self, key: str, name: str, why: str) -> list[RelayAction]:
+        if key in self.noted:
+            return []
+        self.noted = (self.noted if len(self.noted) < MOST_STANDINGS else frozenset()) | {key}
+        return [Told("configuration_wrong", {"follower": name, "why": why})]
+
+    # Time.
+
+    def _standing(self, now_ms: float, seat: Seat) -> Standing:
+        behind = 0 if seat.behind_ms is None else max(1, int(now_ms - seat.behind_ms))
+        heard = max(0, int(now_ms - seat.heard_ms))
+        return Standing(seat.name, seat.life, seat.number, heard, seat.linked, behind, seat.refused, seat.why)
+
+    def _tally(self, now_ms: float) -> list[RelayAction]:
+        whole = now_ms >= self.whole_ms
+        if not whole and (now_ms < self.tally_ms or not self._unsaid()):
+            return []
+        seats = [*self.seats.values(), *self.gone.values()]
+        standings = tuple(self._standing(now_ms, s) for s in seats if whole or s.name in self.changed)
+        self.sequence += 1
+        self.changed, self.number_told = frozenset(), self.version.number
+        self.tally_ms = now_ms + self.random.uniform(*waits.TALLY_MS)
+        if whole:
+            self.whole_ms = now_ms + self.random.uniform(*waits.TALLY_WHOLE_MS)
+        return [Gathered(Tally(self.name, self.life, self.sequence, whole, self.version.number, standings))]
+
+    def _unsaid(self) -> bool:
+        return bool(self.changed) or self.number_told != self.version.number
 
     def tick(self, now_ms: float) -> list[RelayAction]:
         """Time has passed: what is due."""
-        raise NotImplementedError
+        actions = self._serve(now_ms) if self.queue else []
+        if now_ms >= self.scan_ms:
+            actions += self._scan(now_ms)
+        return actions + self._tally(now_ms)
+
+    def _scan(self, now_ms: float) -> list[RelayAction]:
+        """Those that have not been heard for long, connected or not."""
+        actions: list[RelayAction] = []
+        late_ms, self.scan_ms = now_ms - self.scan_ms, now_ms + waits.SCAN_MS
+        if late_ms > waits.SCAN_MS:  # it stood still: what they said may be here, unread
+            return []
+        why = f"not heard for {waits.OVERDUE_MS / 1000.0:g} s"
+        for link, seat in list(self.seats.items()):
+            if now_ms - seat.heard_ms >= waits.OVERDUE_MS:
+                self._leave(now_ms, link)
+                told = Told("configuration_follower_lost", {"follower": seat.name, "why": why})
+                actions += [told, Close(link, why)]
+        for name, seat in list(self.gone.items()):
+            if now_ms - seat.heard_ms >= waits.FORGET_MS:
+                del self.gone[name]
+        return actions
 
     def due_ms(self, now_ms: float) -> float:
         """When `tick` is to be called at the latest."""
-        raise NotImplementedError
+        due = min(self.whole_ms, self.scan_ms)
+        if self._unsaid():
+            due = min(due, self.tally_ms)
+        if self.queue:
+            due = min(due, now_ms + max(1.0, -self.bytes * 1000.0 / waits.WHOLE_BYTES_S + 1.0))
+        return max(due, now_ms + 1.0)
 
     def shown(self, now_ms: float) -> str:
         """How many it serves and who of them is behind, in one line."""
-        raise NotImplementedError
+        behind = sorted(seat.name for seat in self.seats.values() if seat.behind_ms is not None)
+        text = f"relay {self.name} at version {self.version.number}, {len(self.seats)} followers"
+        if behind:
+            text += f", behind: {', '.join(behind[:10])}{' ...' if len(behind) > 10 else ''}"
+        return text
+
+
+def _cost(news: News) -> int:
+    """Bytes, but for a few."""
+    return len(news.contents or b"") + (len(news.delta.middle) if news.delta is not None else 0)
+
+
+def _held_wrong(number: int, digest: str) -> str:
+    if number < 0:
+        return wrong("number", number, "0 and more")
+    if digest and (len(digest) != DIGEST or set(digest) - set("0123456789abcdef")):
+        return wrong("digest", digest, f"{DIGEST} hexadecimal digits")
+    return ""
--- a/grebestack/fleet/waits.py
+++ b/grebestack/fleet/waits.py
@@ -22,9 +22,12 @@
 
 # A relay.
 RESEND_MS = 1000.0  # what was sent within this is not sent again at a poll
+SCAN_MS = 1000.0  # it looks for followers that are overdue
+FORGET_MS = 24 * 3_600_000.0  # one that has gone is forgotten
 OVERDUE_MS = 6000.0  # a follower that is connected and has not polled for so long is not heard
 WHOLE_BYTES_S = 16 * 1024 * 1024  # whole contents a second, see docs/design-configuration.md
 WHOLE_MS = 1500.0  # for so long a whole may wait for its turn
+BURST_MS = 250.0  # the bucket holds as much as goes in this
 TALLY_MS = (800.0, 1200.0)  # where something has changed
 TALLY_WHOLE_MS = (4000.0, 6000.0)  # the whole word
 
@@ -33,4 +36,6 @@
 READ_MS = (100.0, 400.0)  # before the register is read for what another seems to have decided
 ASK_MS = 800.0  # a change of the register that is not through by then has come to nothing (member.ASK_MS)
 FETCH_MS = 500.0  # contents are asked for at another voter after this
+KEPT_MS = 60_000.0  # contents that nobody has decided are kept for so long at least
+RELAY_SILENT_MS = 13_000.0  # two whole words of a relay have not come: its followers are not known
 PROPOSE_MS = 5000.0  # a proposal that is not through by then is not known to be in force
