Explore all states of relays and followers; every wait of one fault in one table

A relay that failed once is tried again before a follower settles with one that knows no majority: found by the exploration (a lost poll at the good relay while the other one is alone).

--- a/grebestack/fleet/follower.py
+++ b/grebestack/fleet/follower.py
@@ -23,7 +23,7 @@
 PAUSED, DIALLING, GREETING, LINKED = "paused", "dialling", "greeting", "linked"
 STORING, APPLYING = "storing", "applying"
 MOST_WHY = 500  # characters
-LATE_MS = 500.0  # a tick that is so late says that this process itself stood still
+BASES = 3  # contents that were told to a relay as held
 
 
 def region(place: str) -> str:
@@ -68,6 +68,7 @@
         self.pending: Held | None = None  # being stored or applied
         self.step = ""
         self.wanted: Held | None = None  # checked, and waits for `pending`
+        self.bases: dict[str, bytes] = {}  # contents that the relay may base a difference on
         self.refused, self.refused_why = 0, ""
         self.floor = 0  # acknowledged in a former life, as a relay knows
         self.link, self.relay, self.state = 0, "", PAUSED
@@ -76,6 +77,7 @@
         self.again_ms = 0.0  # when to dial
         self.tries = 0
         self.tried: frozenset[str] = frozenset()  # since a relay was good
+        self.again_round = False  # all have been tried once and none was good
         self.settled_ms = 0.0  # until when a stale relay is borne
         self.home_ms = inf
         self.newer = 0  # the relay has it and it has not come
@@ -212,12 +214,14 @@
     def _judge(self, now_ms: float, confirmed_ms: int) -> list[FollowerAction]:
         """Whether the relay is good enough to stay with."""
         if confirmed_ms <= waits.STALE_MS:
-            self.tried, self.tries, self.settled_ms = frozenset(), 0, 0.0
+            self.tried, self.tries, self.settled_ms, self.again_round = frozenset(), 0, 0.0, False
             return []
         if now_ms < self.settled_ms:
             return []
         if self.settled_ms:  # it has been borne for long: another look round
-            self.tried, self.settled_ms = frozenset(), 0.0
+            self.tried, self.settled_ms, self.again_round = frozenset(), 0.0, False
+        if self.tried | {self.relay} >= set(self.order) and not self.again_round:
+            self.tried, self.again_round = frozenset(), True  # one that failed may have been well
         if self.tried | {self.relay} >= set(self.order):
             self.settled_ms = now_ms + self.random.uniform(*waits.SETTLED_MS)
             return []
@@ -267,14 +271,17 @@
 
     def _held(self, digest: str) -> bytes:
         """Contents by digest, of those that a difference may be based on; else those in force."""
-        held = [(self.version, self.contents), *self.disk[:1]]
-        if self.pending is not None:
-            held.append(self.pending)
-        return next((c for v, c in held if v.digest == digest), self.contents)
+        return self.bases.get(digest, self.contents)
 
     def _base(self) -> str:
-        """The digest of what a difference is best based on."""
-        return self.disk[0][0].digest if self.disk else self.version.digest
+        """The digest of what a difference is best based on; it is told to the relay, and kept for a while."""
+        version, contents = self.disk[0] if self.disk else (self.version, self.contents)
+        if version.digest:
+            self.bases.pop(version.digest, None)
+            self.bases[version.digest] = contents
+            while len(self.bases) > BASES:
+                del self.bases[next(iter(self.bases))]
+        return version.digest
 
     def _begin(self, now_ms: float) -> list[FollowerAction]:
         """Bring what waits into force, one at a time."""
@@ -352,8 +359,8 @@
         if self.disk and now_ms >= self.start_ms:
             actions += self._from_disk()
         if now_ms >= self.deadline_ms:
-            if now_ms - self.deadline_ms > LATE_MS:  # it stood still: the answer may be here, unread
-                self.deadline_ms = now_ms + LATE_MS
+            if now_ms - self.deadline_ms > waits.LATE_MS:  # it stood still: the answer may be here, unread
+                self.deadline_ms = now_ms + waits.LATE_MS
             else:
                 return actions + self._leave(now_ms, {
                     DIALLING: f"no connection within {waits.DIAL_MS / 1000.0:g} s",
--- a/grebestack/fleet/waits.py
+++ b/grebestack/fleet/waits.py
@@ -13,9 +13,10 @@
 ANSWER_MS = 1000.0  # an answer is awaited, else it leaves the relay
 DIAL_MS = 1000.0  # a connection is awaited
 GREET_MS = 700.0  # the welcome is awaited
+LATE_MS = 500.0  # a tick that is so late says that the process itself stood still: an answer may be unread
 PAUSE_MS = (0.0, 300.0)  # before another relay is dialled, doubled with each failure in a row
 PAUSE_MOST_MS = 1000.0
-STALE_MS = 4000.0  # a relay that has known nothing of a majority for so long is left for another
+STALE_MS = 3500.0  # a relay that has known nothing of a majority for so long is left for another
 SETTLED_MS = (20_000.0, 40_000.0)  # where all are stale it stays, then looks round again
 HOME_MS = (60_000.0, 180_000.0)  # away from its first relay for so long it tries that one again
 START_MS = 2000.0  # what is on the disk waits for a relay's word for so long
@@ -39,3 +40,44 @@
 KEPT_MS = 60_000.0  # contents that nobody has decided are kept for so long at least
 RELAY_SILENT_MS = 13_000.0  # two whole words of a relay have not come: its followers are not known
 PROPOSE_MS = 5000.0  # a proposal that is not through by then is not known to be in force
+
+# Allowances, no waits of this code's: what is measured stands far below them.
+STORE_MS = 500.0  # a version is written, synced and put in force
+MESH_MS = 1600.0  # two voters are connected again (mesh.node.DIAL_MOST_S, a second for the dialling)
+
+_GOES_OVER = (
+    ("pause", PAUSE_MS[1]), ("another relay is dialled", DIAL_MS), ("its welcome", GREET_MS),
+    ("its contents, in their turn", WHOLE_MS), ("stored and applied", STORE_MS),
+)
+_SILENT = (("poll", POLL_MS[1]), ("no answer", ANSWER_MS), *_GOES_OVER)
+
+# For each single fault every wait, one after the other, from a decided version to its being in force.
+FAULTS: dict[str, tuple[tuple[str, float], ...]] = {
+    "relay killed": _GOES_OVER,
+    "relay silent": _SILENT,
+    "relay silent that another relay follows": (
+        ("poll of a relay", SOON_MS[1]), ("no answer", ANSWER_MS), *_GOES_OVER,
+        ("contents of that relay, in their turn", WHOLE_MS),
+    ),
+    "voter lost that has decided and told nobody": (
+        ("beat of another", BEAT_MS[1]), ("pause", READ_MS[1]), ("the register is read", ASK_MS),
+        ("pause", READ_MS[1]), ("it is read again", ASK_MS), ("contents are fetched", FETCH_MS),
+        ("contents, in their turn", WHOLE_MS), ("stored and applied", STORE_MS),
+    ),
+    "lost push": (
+        ("poll", POLL_MS[1]), ("it may still be on its way: another poll", SOON_MS[1]),
+        ("answer", ANSWER_MS), ("contents, in their turn", WHOLE_MS), ("stored and applied", STORE_MS),
+    ),
+    "one-way cut between a follower and its relay": _SILENT,
+    "one-way cut between voters": (
+        ("its relay has known no majority", STALE_MS), ("poll", POLL_MS[1]), ("pause", PAUSE_MS[1]),
+        ("welcome of another", GREET_MS), ("its contents, in their turn", WHOLE_MS),
+        ("stored and applied", STORE_MS),
+    ),
+    "stopped and gone on": (("it stood still", LATE_MS), *_GOES_OVER),
+    "regions met again": (
+        ("voters are connected", MESH_MS), ("beat", BEAT_MS[1]), ("contents are fetched", FETCH_MS),
+        ("dialling of one that looked round", DIAL_MS), ("pause", PAUSE_MOST_MS), ("welcome", GREET_MS),
+        ("contents, in their turn", WHOLE_MS), ("stored and applied", STORE_MS),
+    ),
+}
--- a/tests/configuration_model.py
+++ b/tests/configuration_model.py
@@ -107,6 +107,7 @@
     lives: tuple[int, int]
     open: bool = True
     at: dict[str, float] = field(default_factory=dict)
+    waiting: dict[str, list[Callable[[], None]]] = field(default_factory=dict)  # behind a cut, by sender
 
 
 @dataclass
@@ -151,6 +152,7 @@
         self.processes = {name: Process(name) for name in [*VOTERS, *RELAY, *followers]}
         self.cut: set[tuple[str, str]] = set()  # ways over which nothing goes
         self.mesh_down: set[frozenset[str]] = set()
+        self.mesh_at: dict[tuple[str, str], float] = {}  # when the last message of a way arrives
         self.chosen: list[Chosen] = []
         self.acts: list[InForce] = []
         self.outcomes: dict[int, act.Outcome] = {}
@@ -385,12 +387,25 @@
         self.at(arrives - self.now, partial(self.pass_on, sender, to, connection, call))
 
     def pass_on(self, sender: str, to: str, connection: Connection, call: Callable[[], None]) -> None:
-        if (sender, to) in self.cut:
-            if connection.open:
-                self.at(200.0, partial(self.pass_on, sender, to, connection, call))
+        waiting = connection.waiting.setdefault(sender, [])
+        if (sender, to) in self.cut or waiting:
+            waiting.append(call)
+            if len(waiting) == 1:
+                self.at(200.0, partial(self.again, sender, to, connection))
             return
         call()
 
+    def again(self, sender: str, to: str, connection: Connection) -> None:
+        """What waits behind a cut is sent again."""
+        if not connection.open:
+            return
+        if (sender, to) in self.cut:
+            self.at(200.0, partial(self.again, sender, to, connection))
+            return
+        calls, connection.waiting[sender] = connection.waiting[sender], []
+        for call in calls:
+            call()
+
     def arrive(self, connection: Connection, to: str, data: bytes) -> None:
         p = self.processes[to]
         life = connection.lives[0 if to == connection.client else 1]
@@ -442,7 +457,9 @@
     def _mesh(self, sender: str, to: str, call: Callable[[], None]) -> None:
         if frozenset((sender, to)) in self.mesh_down or (sender, to) in self.cut or not self.processes[to].up:
             return
-        self.at(self.way_ms(sender, to), partial(self.alive, to, self.processes[to].life, call))
+        arrives = max(self.now + self.way_ms(sender, to), self.mesh_at.get((sender, to), 0.0))
+        self.mesh_at[sender, to] = arrives
+        self.at(arrives - self.now, partial(self.alive, to, self.processes[to].life, call))
 
     def word(self, sender: str, to: str, body: bytes) -> None:
         def heard() -> None:
@@ -543,3 +560,140 @@
 def refusal(name: str, contents: bytes) -> str:
     """Contents may say who can't take them."""
     return "servers is 'bad'; allowed: good ones" if f"not for {name};".encode() in contents else ""
+
+
+FAULTS = (
+    "none", "relay killed", "relay's machine gone", "relay silent", "voter lost while it decides",
+    "voter's machine gone while it decides", "lost push", "one-way cut to the relay",
+    "one-way cut from the relay", "one-way cut between voters", "a voter hears no other",
+    "no other hears a voter", "a follower stopped and gone on", "a relay stopped and gone on",
+    "regions cut and met again", "a follower cut from all", "old disk", "a relay process restarts",
+)
+SERVERS = (*VOTERS, *RELAY)
+
+
+def contents_of(random: Random, former: bytes) -> bytes:
+    """Contents near to the former ones, or others altogether."""
+    if former and random.random() < 0.7:
+        at = random.randrange(len(former))
+        return former[:at] + f"weight = {random.random()}\n".encode() + former[at + random.randrange(20):]
+    return random.randbytes(random.choice([200, 5_000, 60_000, 300_000]))
+
+
+@dataclass
+class Play:
+    """One fleet, one fault, a few changes; what it came to."""
+
+    world: World
+    owed: list[Owed]
+    fault: str
+    text: str
+
+    def wrong(self) -> list[str]:
+        """What is not as it should be."""
+        return wrong(self.world.chosen, self.world.acts, self.owed, self.world.now)
+
+
+def play(seed: int, fault: str, changes: int = 3, **kinds: Any) -> Play:
+    """A fleet that has run for a while, then one fault and changes round it, until all bounds have passed."""
+    random = Random(f"{seed}/{fault}")
+    world = World(random.getrandbits(32), **kinds)
+    world.begin()
+    world.run(3000.0)
+    world.propose(1, "v1", contents_of(random, b""))
+    world.run(6000.0)
+    at = random.uniform(6000.0, 12_000.0)
+    long = random.choice([random.uniform(300.0, 5000.0), random.uniform(5000.0, 70_000.0)])
+    server, follower = random.choice(SERVERS), random.choice(sorted(FOLLOWERS))
+    voter = random.choice(sorted(VOTERS))
+    relay = world.processes[follower].follower
+    own = relay.relay if relay is not None and relay.relay else server
+    cuts: dict[str, tuple[tuple[float, float], ...]] = {}
+    end = at + 22_000.0
+
+    def sever(ways: set[tuple[str, str]], heals: bool) -> None:
+        nonlocal end
+        world.at(at - world.now, lambda: world.sever(ways))
+        if heals:
+            world.at(at + long - world.now, lambda: world.heal(ways))
+            end = max(end, at + long + 12_000.0)
+
+    def ask(ticket: int, name: str, contents: bytes) -> None:
+        world.propose(ticket, name, contents)
+
+    text = f"seed={seed} fault={fault!r} at={at:.0f} long={long:.0f} {server} {follower} {voter} {own}"
+    if fault in ("relay killed", "a relay process restarts"):
+        if fault == "relay killed" and random.random() < 0.7:
+            server = own
+        world.at(at - world.now, lambda: world.kill(server))
+        if fault == "a relay process restarts":
+            world.at(at + 400.0 - world.now, lambda: world.start(server))
+            world.at(at + 2000.0 - world.now, lambda: world.mesh_back(server))
+        cuts = {server: ((at, 1e12),)} if fault == "relay killed" else {server: ((at, at + 400.0),)}
+    elif fault == "relay's machine gone":
+        def gone() -> None:
+            world.quiet = frozenset({own})
+            world.kill(own, quiet=True)
+        world.at(at - world.now, gone)
+        cuts = {own: ((at, 1e12),)}
+    elif fault in ("relay silent", "a relay stopped and gone on"):
+        for_ms = 1e9 if fault == "relay silent" else long
+        world.at(at - world.now, lambda: world.stop(own, for_ms))
+        cuts = {own: ((at, at + for_ms),)}
+        end = max(end, at + (long if for_ms < 1e9 else 0.0) + 12_000.0)
+    elif fault.startswith("voter"):
+        quiet = "machine" in fault
+
+        def lose() -> None:
+            world.quiet = frozenset({voter}) if quiet else frozenset()
+            world.kill(voter, quiet)
+        world.at(at - world.now, partial(ask, 9, voter, contents_of(random, b"")))
+        world.at(at + random.uniform(0.0, 250.0) - world.now, lose)
+    elif fault == "lost push":
+        world.at(at - world.now, lambda: world.lose_news.update({follower: 1}))
+    elif fault == "one-way cut to the relay":
+        sever({(follower, own)}, random.random() < 0.5)
+    elif fault == "one-way cut from the relay":
+        sever({(own, follower)}, random.random() < 0.5)
+    elif fault == "one-way cut between voters":
+        other = random.choice(sorted(set(VOTERS) - {voter}))
+        sever({(voter, other)}, random.random() < 0.5)
+    elif fault == "a voter hears no other":
+        sever({(v, voter) for v in VOTERS if v != voter}, random.random() < 0.5)
+    elif fault == "no other hears a voter":
+        sever({(voter, v) for v in VOTERS if v != voter}, random.random() < 0.5)
+    elif fault == "a follower stopped and gone on":
+        world.at(at - world.now, lambda: world.stop(follower, long))
+        cuts = {follower: ((at, at + long),)}
+        end = max(end, at + long + 12_000.0)
+    elif fault == "a follower cut from all":
+        sever({way for s in SERVERS for way in ((s, follower), (follower, s))}, True)
+        cuts = {follower: ((at, at + long),)}
+    elif fault == "regions cut and met again":
+        near = {n for n in world.processes if region(PLACES[n]) == "r1"}
+        far = set(world.processes) - near
+        sever({way for a in near for b in far for way in ((a, b), (b, a))}, True)
+        cuts = {name: ((at, at + long),) for name in far}
+    elif fault == "old disk":
+        def snap() -> None:
+            saved.update(world.processes[follower].disk)
+
+        def back() -> None:
+            world.processes[follower].disk = dict(saved)
+            world.start(follower)
+        saved: dict[int, tuple[Version, bytes]] = {}
+        world.at(0.0, snap)
+        world.at(at - world.now, lambda: world.kill(follower))
+        back_ms = at + random.uniform(100.0, 6000.0)
+        world.at(back_ms - world.now, back)
+        cuts = {follower: ((at, back_ms),)}
+        end = max(end, back_ms + 12_000.0)
+    former = contents_of(random, b"")
+    for ticket in range(2, 2 + changes):
+        former = contents_of(random, former)
+        close = random.random() < 0.5  # near the fault, or anywhere
+        when = at + random.uniform(-400.0, 3000.0) if close else random.uniform(6000.0, end - 10_500.0)
+        world.at(when - world.now, partial(ask, ticket, random.choice(sorted(VOTERS)), former))
+    world.run(end)
+    names = [*FOLLOWERS, *RELAY]
+    return Play(world, [Owed(name, cuts.get(name, ())) for name in names], fault, text)
