--- a/grebestack/program/paced.py
+++ b/grebestack/program/paced.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
@@ -29,10 +29,8 @@
 from grebestack.fleet.register import Value
 from grebestack.mesh.node import Node
 from grebestack.program.attendance import Attendance
-from grebestack.program.life import LED_MS
-
-if TYPE_CHECKING:
-    from grebestack.program.dispatcher import Dispatcher
+from grebestack.program.life import LED_MS, Life
+from grebestack.routing.interfaces import Clock
 
 log = logging.getLogger(__name__)
 TASK = "restart"
@@ -40,12 +38,28 @@
 LEAVE_MS = 400.0  # after clients were led out, before the stop
 
 
+class Host(Protocol):
+    """The dispatcher that is restarted."""
+
+    life: Life
+
+    @property
+    def clock(self) -> Clock:
+        """The time."""
+
+    def apply(self) -> None:
+        """Have all follow the state of `life`."""
+
+    def stop(self) -> None:
+        """End once all is answered."""
+
+
 class Paced:
     """One member of a fleet that is restarted one after the other."""
 
-    def __init__(self, dispatcher: Dispatcher, node: Node, pace: Pace) -> None:
+    def __init__(self, dispatcher: Host, node: Node, pace: Pace) -> None:
         self.dispatcher, self.node = dispatcher, node
-        self.clock = dispatcher.engine.clock
+        self.clock = dispatcher.clock
         self.pacing = Pacing(node.settings.name, pace, self.clock.now_ms())
         self.known: dict[str, Known] = {}
         self.tell_ms = 0.0
--- a/tests/test_follower_cluster.py
+++ b/tests/test_follower_cluster.py
@@ -92,11 +92,12 @@
 
 
 def back(cluster: FollowerCluster, name: str, number: int) -> None:
-    """Start a process again; it is to have the version too, and a voter is to know of it."""
+    """Start a process again; it is to have the version too, and a voter is to know of it and vote."""
     cluster.start(name)
     cluster.due(number, [name])
     cluster.everywhere(number, [name])
     until_shown(cluster, number, name)
+    all_vote(cluster)
 
 
 def test_a_relay_killed_at_each_step_of_a_change_holds_nobody_up(tmp_path: Path) -> None:
--- a/tests/test_follower_judge.py
+++ b/tests/test_follower_judge.py
@@ -37,7 +37,11 @@
 
 
 def both(*changes: Callable[[InForce], None]) -> Callable[[InForce], None]:
-    return lambda history: [one(history) for one in changes] and None
+    def changed(history: InForce) -> None:
+        for one in changes:
+            one(history)
+
+    return changed
 
 
 @pytest.mark.parametrize(
