--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -35,7 +35,7 @@
 
 import msgspec
 import uvloop
-from flood import Peer, free_port
+from flood import Peer
 from flood import Runner as FloodRunner
 from harness import Fleet, Machines, SimClock, conclude, engine_on, percentile
 from membership import Fleet as ConsulFleet
@@ -64,7 +64,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from tests.cluster import Cluster  # noqa: E402
+from tests.cluster import Cluster, quiet_port  # noqa: E402
 
 OUT = Path(__file__).resolve().parent / "figures" / "slopes.json"
 Points = Mapping[Any, list[float]]
@@ -337,7 +337,7 @@
     """One dispatcher from an operator's file, its stand-in runners, and clients."""
 
     def __init__(self, servers: int, folder: Path, siblings: int) -> None:
-        self.servers, self.folder, self.front, self.siblings = servers, folder, free_port(), siblings
+        self.servers, self.folder, self.front, self.siblings = servers, folder, quiet_port(), siblings
         self.idle: list[Peer] = []
         self.answers = Counter[int]()
         self.tasks: set[asyncio.Task[None]] = set()
