--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -82,7 +82,10 @@
         """As a person reads it."""
         if not self.slope:
             return number(self.base)
-        return f"{number(self.slope)} x {self.per} {'-' if self.base < 0 else '+'} {number(abs(self.base))}"
+        line = f"{number(self.slope)} x {self.per}"
+        if abs(self.base) < 1e-6 * abs(self.slope) * self.high:
+            return line
+        return f"{line} {'-' if self.base < 0 else '+'} {number(abs(self.base))}"
 
 
 class Figures:
@@ -255,6 +258,9 @@
     ("control: settings of 250 classes and tenants", "% of a core",
      lambda f, n: (f("settings.parse_ms", TEAMS) + f("settings.resettle_ms", TEAMS**2)) * A_SECOND / 10.0,
      "(parse at 250 + resettling at 250^2) x 1,400 a day"),
+    ("control: settings, 20 x the day's changes", "% of a core",
+     lambda f, n: 20.0 * (control(f, 0.0) - f("lists.change_ms", SERVERS) * AWAY / 10.0),
+     "20 x the line above"),
     ("control: settings, told whole each time", "bytes/s",
      lambda f, n: f("settings.contents_bytes", TEAMS) * A_SECOND, "line at 250 x 1,400 a day"),
     ("control: these without a fleet", "% of a core",
@@ -376,16 +382,21 @@
     ("7 KB/s, whole lists", "s from one list to the next, at least",
      lambda f, n: f("lists.list_bytes", n) / BYTES_S,
      "as above; where discovery tells changes it is far below"),
-    ("490 starts a second, each with its flush", "dispatchers with a store, at least",
+    ("490 starts a second, each with its flush", "dispatchers' whole time, all together",
      lambda f, n: f("job_store.one_start_ms") * STARTS_S / 1e3, "the loop waits for the disk, jobs for it"),
-    ("490 starts a second, processor", "dispatchers, at least",
-     lambda f, n: f("whole.job_ms_by_servers", n) * STARTS_S / 1e3, "a core is full: jobs wait"),
+    ("490 starts a second, processor", "cores, all dispatchers together",
+     lambda f, n: f("whole.job_ms_by_servers", n) * STARTS_S / 1e3, "jobs wait"),
+    ("7 KB/s, contents told whole, 20 x the day's changes", "classes, each with a tenant",
+     lambda f, n: f.meets("settings.contents_bytes", BYTES_S / (20.0 * A_SECOND)), "the difference is told"),
     ("128 MB, jobs open at one dispatcher", "jobs",
      lambda f, n: f.meets("whole.own_mb_by_open_jobs", MEMORY_MB), ""),
     ("128 MB, workers", "workers", lambda f, n: f.meets("whole.own_mb_by_servers", MEMORY_MB), ""),
     ("a decision costs twice, each change another meaning of a class", "days without a restart",
      lambda f, n: f.base("module.job_us_by_retired") / f.slope("module.job_us_by_retired") / 1400,
      "a class that was changed keeps its place until a restart"),
+    ("a reload holds the loop for 100 ms, each change another meaning of a class", "days without a restart",
+     lambda f, n: (100.0 - f.base("settings.resettle_ms_by_retired"))
+     / f.slope("settings.resettle_ms_by_retired") / 1400, "the same places"),
     ("100 MB more, each change another meaning of a class", "days without a restart",
      lambda f, n: 100.0 / f.slope("settings.retired_mb") / 1400, "the same places, in memory"),
     ("a reload holds the loop for 100 ms", "classes",
@@ -477,9 +488,9 @@
         return (
             "Missing, and the first that is: dispatchers which don't vote but follow. Few voters on the eight"
             " machines decide a version (number, digest), relays push it to a bounded part each, and whoever"
-            " missed it asks for it by number. Reckoned cost: one connection and two small messages a second for"
-            " a dispatcher, one push of the difference for a change; voters and relays grow with what they"
-            " serve, not with its square."
+            " missed it asks for it by number. Reckoned cost: one connection and two small messages a second"
+            " for a dispatcher, one push of the difference for a change; voters and relays grow with what"
+            " they serve, not with its square."
         )
     names = ("versions", "feed", "follower", "relay", "configuration", "waits")
     modules = [f"grebestack/fleet/{name}.py" for name in names]
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -23,7 +23,6 @@
 import sys
 import tempfile
 import time
-import zlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
@@ -583,7 +582,7 @@
 
 
 def reload_costs(size: int, folder: Path, turns: int, retired: int = 0) -> dict[str, float]:
-    """A file read, checked and taken again: processor time in ms, bytes as it is and compressed."""
+    """A file read, checked and taken again: processor time in ms, bytes."""
     path = folder / "n0.toml"
     path.write_text(contents(size, size))
     former = from_file(str(path))
@@ -613,7 +612,6 @@
         "parse": statistics.median(parse),
         "settle": statistics.median(settle),
         "bytes": float(len(text)),
-        "packed": float(len(zlib.compress(text))),
     }
 
 
@@ -658,7 +656,6 @@
         grown = rounds(runs, (200, 400) if quick else (350, 700, 1400), lambda n, run: grown_mb(folder, n))
     return {
         "contents_bytes": fitted(column(came, "bytes"), "bytes", "class and tenant"),
-        "contents_packed_bytes": fitted(column(came, "packed"), "bytes", "class and tenant"),
         "parse_ms": fitted(column(came, "parse"), "ms", "class and tenant"),
         "resettle_ms": fitted(squares, "ms", "square of the classes"),
         "resettle_ms_by_retired": fitted(old, "ms", "retired class"),
