--- a/grebestack/mesh/configuration.py
+++ b/grebestack/mesh/configuration.py
@@ -70,9 +70,9 @@
         """Messages and bytes each way among voters, for the configuration alone."""
         return self.counted
 
-    def shown(self) -> str:
+    def shown(self) -> list[str]:
         """The version in force, and who has it."""
-        return "; ".join(self.voter.shown(self.clock()))
+        return self.voter.shown(self.clock())
 
     def start(self) -> None:
         """Begin."""
--- a/grebestack/program/configuring.py
+++ b/grebestack/program/configuring.py
@@ -29,6 +29,7 @@
 from grebestack.program.config import Config, ConfigError, ForceConfig, StartError, check, from_text, read
 
 log = logging.getLogger(__name__)
+DECIDED_S = 0.7  # the door wants its answer by then; see control.door.ANSWER_S
 SPARE_S = 0.3  # a start waits so long beyond what a version on the disk waits for a relay
 FOLDER = "configuration"  # within the fleet's folder
 # Seams for tests, which no operator's file can reach.
@@ -192,12 +193,18 @@
 
     # The door.
 
-    def shown(self) -> str:
-        """The version in force, and what is known of the others', for one line."""
-        parts = [part.shown() for part in (self.voter, self.follower) if part is not None]
+    def lines(self) -> list[str]:
+        """The version in force, and what is known of the others'."""
+        lines = self.voter.shown() if self.voter is not None else []
+        if self.follower is not None:
+            lines.append(self.follower.shown())
         if self.relay is not None:
-            parts.append(f"relay: {self.relay.relay.shown(CLOCK())}")
-        return "; ".join(parts)
+            lines.append(self.relay.relay.shown(CLOCK()))
+        return lines
+
+    def shown(self) -> str:
+        """The same for one line."""
+        return "; ".join(self.lines())
 
     def configure(self, path: str, reply: Callable[[Answer], None]) -> None:
         """An operator wants a file's contents in force everywhere."""
@@ -222,6 +229,11 @@
                 text = outcome.why
             reply(Answer(outcome.won, text))
 
+        def late() -> None:  # the door takes the first answer alone
+            text = "no majority has decided it yet; it may still come into force: look with `fleet`"
+            reply(Answer(False, text))
+
+        self.loop.call_later(DECIDED_S, late)
         self.voter.propose(contents, ended)
 
 
--- a/grebestack/program/console.py
+++ b/grebestack/program/console.py
@@ -152,7 +152,8 @@
             return known, f"{tasks}\n\n{known['restart']}", DONE
         rows = table(known["members"], ("member", "state", "in_set"))
         heard = "heard" if known["majority_heard"] else "not heard"
-        return known, f"epoch {known['epoch']}, a majority is {heard}\n\n{rows}", DONE
+        lines = "".join(f"\n{line}" for line in ["", *known["configuration"]] if known["configuration"])
+        return known, f"epoch {known['epoch']}, a majority is {heard}\n\n{rows}{lines}", DONE
     if options.command == "accept":
         answer = remote.ask("POST", "/console/accept", {"source": options.source})
         return answer, f"{answer['source']}  accepted", DONE
--- a/grebestack/program/fleet.py
+++ b/grebestack/program/fleet.py
@@ -207,9 +207,10 @@
     def members(self) -> dict[str, Any]:
         """The set in force and all members, as this one sees them."""
         member, now = self.node.member, self.node.clock()
-        names = member.roll.names()
+        names, configuring = member.roll.names(), self.dispatcher.configuring
         return {
             "epoch": member.roll.epoch, "majority_heard": member.quorum(now),
+            "configuration": [] if configuring is None else configuring.lines(),
             "members": [
                 {"member": name, "state": state, "in_set": name in names}
                 for name, state in member.describe(now).items()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -80,4 +80,5 @@
     world.start_appliance(settings=settings)
     wait_until(lambda: "grebestack  1" in console(world, "fleet", "leases").stdout)
     fleet = json.loads(console(world, "--json", "fleet").stdout)
+    assert fleet["configuration"] == []
     assert fleet["majority_heard"] and fleet["members"][0]["state"] == "votes"
--- a/tests/test_follower_cluster.py
+++ b/tests/test_follower_cluster.py
@@ -54,7 +54,8 @@
 
 
 def until_linked(cluster: FollowerCluster, *names: str) -> None:
-    """The start, or the last fault, is over for these and for the relays that they follow."""
+    """The start, or the last fault, is over for these, the relays that they follow, and the voters."""
+    all_vote(cluster)
     wait_until(lambda: all(relay_of(cluster, name) and confirmed(cluster, name) for name in names), 60)
 
 
@@ -135,6 +136,7 @@
         began = monotonic_ms()
         answers = [cluster.ask("m0", contents(limit)) for limit in (8, 9)]
         assert all(answer.startswith("FAILURE") for answer in answers), answers
+        assert "majority" in answers[0], answers
         time.sleep(3.0)
         assert all(cluster.in_force(name) == number for name in ("m0", *cluster.followers))
         cluster.judged.powerless.append((began, monotonic_ms()))
