--- a/grebestack/fleet/configuration.py
+++ b/grebestack/fleet/configuration.py
@@ -361,18 +361,23 @@
             return []
         newer = value.number > self.decided.number
         actions = self._learn(now_ms, value, self.name)
-        proposal = self.proposal
-        if proposal is not None and value == proposal.version:
-            actions += self._end(True, "")
-        elif proposal is not None and value.number >= proposal.version.number:
-            won = f"{value.by or 'another voter'} won with number {value.number}"
-            if value.number > proposal.version.number and proposal.asked:
-                won += "; whether this one was in force before is not known"
-            actions += self._end(False, won)
+        actions += self._settle(value)
         if newer:
             actions += self._beat(now_ms, view)
         return actions + self._propose(now_ms, view)
 
+    def _settle(self, decided: Version) -> list[ConfigurationAction]:
+        """What is decided tells how this voter's proposal went."""
+        proposal = self.proposal
+        if proposal is None or decided.number < proposal.version.number:
+            return []
+        if decided == proposal.version:
+            return self._end(True, "")
+        won = f"{decided.by or 'another voter'} won with number {decided.number}"
+        if decided.number > proposal.version.number and proposal.asked:
+            won += "; whether this one was in force before is not known"
+        return self._end(False, won)
+
     def _read_pause(self) -> float:
         return self.random.uniform(*waits.READ_MS)
 
@@ -391,9 +396,9 @@
             return []
         self.decided = version
         for contents in self._here(version.digest):
-            return self._have(now_ms, contents)
+            return [*self._have(now_ms, contents), *self._settle(version)]
         self.fetch_ms, self.fetched = now_ms, by
-        return []
+        return self._settle(version)
 
     def _here(self, digest: str) -> list[bytes]:
         """Contents by digest, if they are here."""
--- a/grebestack/fleet/follower.py
+++ b/grebestack/fleet/follower.py
@@ -16,7 +16,19 @@
 
 from grebestack.fleet import waits
 from grebestack.fleet.actions import Apply, Close, Confirmed, Dial, FollowerAction, Offer, Say, Store, Told
-from grebestack.fleet.feed import FORM, Fetch, Full, Greeting, News, Poll, Said, Still, Tally, Welcome
+from grebestack.fleet.feed import (
+    FORM,
+    NEVER_MS,
+    Fetch,
+    Full,
+    Greeting,
+    News,
+    Poll,
+    Said,
+    Still,
+    Tally,
+    Welcome,
+)
 from grebestack.fleet.versions import NO_VERSION, Version, apply_delta, check, sound, wrong
 
 Held = tuple[Version, bytes]
@@ -198,7 +210,7 @@
         if number < (former := self.told.get(self.relay, 0)):
             self.poll_ms = now_ms + self._pace()
             why = wrong("number", number, f"{former} and more, as it said before")
-            return self._note(f"less/{self.relay}", why)
+            return [*self._note(f"less/{self.relay}", why), *self._judge(now_ms, NEVER_MS)]
         self.told[self.relay] = number
         self.newer = number if number > max(self._top(), self.refused) else 0
         at_ms = now_ms - confirmed_ms
@@ -225,7 +237,8 @@
         if self.tried | {self.relay} >= set(self.order):
             self.settled_ms = now_ms + self.random.uniform(*waits.SETTLED_MS)
             return []
-        return self._leave(now_ms, f"it has known nothing of a majority for {confirmed_ms / 1000.0:.0f} s")
+        for_s = "long" if confirmed_ms >= NEVER_MS else f"{confirmed_ms / 1000.0:.0f} s"
+        return self._leave(now_ms, f"it has known nothing of a majority for {for_s}")
 
     def _news(self, now_ms: float, news: News) -> list[FollowerAction]:
         version = news.version
--- a/grebestack/fleet/relay.py
+++ b/grebestack/fleet/relay.py
@@ -77,9 +77,9 @@
         self.former: dict[str, bytes] = {}  # contents by digest, the newest last
         self.deltas: dict[str, Delta] = {}  # to the present version, by base
         self.news: dict[str, tuple[float, News]] = {}  # made lately, by base; "" for whole
-        self.queue: tuple[int, ...] = ()  # links that wait for their turn
+        self.queue: dict[int, None] = {}  # links that wait for their turn, in order
         self.bytes, self.bytes_ms = float(waits.WHOLE_BYTES_S), 0.0  # the bucket, and when it was looked at
-        self.changed: frozenset[str] = frozenset()  # names, since the last tally
+        self.changed: set[str] = set()  # names, since the last tally
         self.number_told = -1
         self.sequence = 0
         self.tally_ms, self.whole_ms, self.scan_ms = 0.0, 0.0, 0.0
@@ -145,8 +145,7 @@
             return []
         news = self._made(now_ms, seat.digest)
         if _cost(news) > SMALL:
-            if link not in self.queue:
-                self.queue = (*self.queue, link)
+            self.queue.setdefault(link)
             return self._serve(now_ms)
         return [self._sent(now_ms, link, news)]
 
@@ -160,7 +159,8 @@
         self.bytes, self.bytes_ms = min(grown, waits.WHOLE_BYTES_S * waits.BURST_MS / 1000.0), now_ms
         actions: list[RelayAction] = []
         while self.queue and self.bytes > 0.0:
-            link, self.queue = self.queue[0], self.queue[1:]
+            link = next(iter(self.queue))
+            del self.queue[link]
             seat = self.seats.get(link)
             if seat is None or seat.number >= self.version.number or seat.refused == self.version.number:
                 continue
@@ -215,7 +215,7 @@
         behind = now_ms if greeting.number < self.version.number else None
         self.seats[link] = Seat(name, greeting.life, greeting.number, greeting.digest, now_ms, behind)
         self.links[name] = link
-        self.changed |= {name}
+        self.changed.add(name)
         floor = max(self.floor(name), known.number if known is not None else 0)
         welcome = Welcome(FORM, self.fleet, self.name, self.most, floor)
         return [*actions, Say(link, welcome), *self._answer(now_ms, link)]
@@ -240,7 +240,7 @@
             why = wrong("number", poll.number, f"{seat.number} and more, as {seat.name} said before")
             actions += self._note(f"less/{seat.name}", seat.name, why)
         if (poll.number, poll.refused, poll.why) != (seat.number, seat.refused, seat.why):
-            self.changed |= {seat.name}
+            self.changed.add(seat.name)
             if poll.refused and poll.refused != seat.refused:
                 kv = {"follower": seat.name, "number": poll.refused, "why": poll.why}
                 actions.append(Told("configuration_follower_refuses", kv))
@@ -275,7 +275,7 @@
             self.links.pop(seat.name, None)
             self.gone.pop(seat.name, None)
             self.gone[seat.name] = replace(seat, linked=False)
-            self.changed |= {seat.name}
+            self.changed.add(seat.name)
             while len(self.gone) > self.most:
                 del self.gone[next(iter(self.gone))]
         return seat
@@ -307,7 +307,7 @@
         seats = [*self.seats.values(), *self.gone.values()]
         standings = tuple(self._standing(now_ms, s) for s in seats if whole or s.name in self.changed)
         self.sequence += 1
-        self.changed, self.number_told = frozenset(), self.version.number
+        self.changed, self.number_told = set(), self.version.number
         self.tally_ms = now_ms + self.random.uniform(*waits.TALLY_MS)
         if whole:
             self.whole_ms = now_ms + self.random.uniform(*waits.TALLY_WHOLE_MS)
