--- a/grebestack/mesh/frames.py
+++ b/grebestack/mesh/frames.py
@@ -86,6 +86,9 @@
 
     def data_received(self, data: bytes) -> None:
         self.traffic.bytes_in += len(data)
+        if self.why:  # it is ending: nothing more is read, or kept
+            self.rest = b""
+            return
         data = self.rest + data
         at, size = 0, self.head.size
         while self.transport is not None and not self.why and len(data) - at >= size:
--- a/tests/test_follower_cluster.py
+++ b/tests/test_follower_cluster.py
@@ -16,6 +16,7 @@
 
 from grebestack.fleet.versions import MOST_CONTENTS
 from grebestack.mesh.telling import monotonic_ms
+from grebestack.program.audit import record_of
 from tests.follower_cluster import LATE_MS, FollowerCluster, Lateness, contents
 from tests.standins import wait_until
 
@@ -311,6 +312,31 @@
     play(tmp_path, script, followers=2, before=other_zones)
 
 
+def test_the_record_of_acts_has_the_stamps_of_each_version_and_who_asked_for_it(tmp_path: Path) -> None:
+    def audited(cluster: FollowerCluster) -> None:
+        for name in ("m0", "f0"):
+            with (cluster.folder / f"{name}.toml").open("a") as file:
+                file.write(f'[audit]\nfolder = "{name}/audit"\n')
+
+    def script(cluster: FollowerCluster) -> None:
+        for limit in (6, 7):
+            number = cluster.decide("m0", contents(limit, servers=["a", "b"][: limit - 5]))
+            cluster.due(number, cluster.members)
+            cluster.everywhere(number)
+        for name in ("m0", "f0"):
+            cluster.signal(name, signal.SIGTERM)
+        for name in ("m0", "f0"):
+            record = record_of(name, str(cluster.members[name].folder / "audit"))
+            stamps = [held.versions.settings for held in record.held]
+            laid = [line.settings for line in cluster.laid(name)]
+            assert not record.doubts and [one for one in stamps if one in laid] and laid[-1] == stamps[-1]
+            assert sorted(set(laid), key=laid.index) == sorted(set(stamps[1:]) & set(laid), key=stamps.index)
+            asked = [act.server for act in record.acts if act.call == "configure"]
+            assert len(asked) == (2 if name == "m0" else 0)
+
+    play(tmp_path, script, followers=1, before=audited)
+
+
 KINDS = (
     "kill a voter", "kill a relay", "stop a relay", "cut from a relay", "cut to a relay", "kill a follower",
     "old disk", "reset",
--- a/tests/test_follower_shell.py
+++ b/tests/test_follower_shell.py
@@ -130,6 +130,16 @@
     assert wire.aborted and link.why == "it does not read" and not wire.written
 
 
+def test_one_that_is_ending_keeps_nothing_that_still_comes_and_is_cut_when_it_does_not_read() -> None:
+    link, ear, wire = linked()
+    link.leave("not taken")
+    assert wire.closed and not wire.aborted
+    link.data_received(framed(*SAID) + b"half")
+    assert not ear.messages and link.rest == b""
+    link.close("later")
+    assert wire.aborted and link.why == "not taken"
+
+
 def test_one_given_up_while_it_was_opened_ends_as_it_comes_up() -> None:
     ear, wire = Ear(), Wire()
     link = FeedLink(cast(asyncio.AbstractEventLoop, Loop()), ear, 1, Traffic())
