--- a/grebestack/program/configuring.py
+++ b/grebestack/program/configuring.py
@@ -80,18 +80,19 @@
         self.path = host.config.path
         self.text = read(self.path)
         self.contents: bytes | None = None  # of the version in force; None: none is
+        self.whole = host.config  # the two together; what of it needs a restart, the host does not act under
 
     def reread(self) -> Config:
         """The local file, read again, under the version in force. ConfigError: it can't be used."""
         text = read(self.path)
         config = from_text(self.path, text, self.contents)
-        self.text = text
+        self.text, self.whole = text, config
         return config
 
     def look(self, contents: bytes) -> Config:
         """What a version would put in force here. ConfigError: why it can't."""
         config = checked(self.path, self.text, contents, self.host.config)
-        before = self.host.waits(from_text(self.path, self.text, self.contents))
+        before = self.host.waits(self.whole)
         for name in self.host.waits(config):
             if name not in before:
                 if name == "options":
@@ -114,7 +115,7 @@
         kv: dict[str, object] = {"number": version.number, "digest": version.digest}
         if why:
             return why
-        self.contents = contents
+        self.contents, self.whole = contents, config
         # What is in force is said by what the dispatcher holds now, not by what it was given.
         now = self.host.config
         kv |= {"by": version.by, "since_ms": version.since_ms, "at_ms": round(monotonic_ms(), 1)}
--- a/tests/test_follower_shell.py
+++ b/tests/test_follower_shell.py
@@ -440,6 +440,17 @@
     assert laid.host.config is former and laid.contents == TWO
 
 
+def test_what_waits_for_a_restart_by_the_local_file_is_not_held_against_a_version(
+    tmp_path: Path,
+) -> None:
+    laid = laying(tmp_path, waits=("zones",))
+    path, wider = tmp_path / "a.toml", 'zones = ["here", "there"]'
+    path.write_text(path.read_text().replace('zones = ["here"]', wider))
+    assert "zones" in laid.take(version(1, TWO), contents(6, zones='["here", "there"]'))
+    laid.reread()  # as SIGHUP does: it is known from now on that zones wait
+    assert laid.take(version(2, TWO), contents(6, zones='["here", "there"]')) == ""
+
+
 def test_what_the_dispatcher_can_not_put_in_force_is_not_laid_over_the_file_either(tmp_path: Path) -> None:
     laid = laying(tmp_path, why="servers: it failed")
     assert laid.take(version(1, TWO), TWO) == "servers: it failed" and laid.contents is None
