--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,10 +2,10 @@
 
     .venv/bin/python benchmarks/capacity.py [--check]
 
-Figures: figures/slopes.json (slopes.py), members.json and scale.json (scale.py); what none of them has reads
-*not measured yet*. A table stands between `<!-- capacity: NAME -->` and `<!-- end -->`. With --check nothing
-is written, and exit 1 says that the page is not what the files give. A value beyond the sizes that were
-measured is marked `r`, reckoned.
+Figures: figures/slopes.json (slopes.py), members.json, taking.json and scale.json (scale.py); what none of
+them has reads *not measured yet*. A table stands between `<!-- capacity: NAME -->` and `<!-- end -->`. With
+--check nothing is written, and exit 1 says that the page is not what the files give. A value beyond the sizes
+that were measured is marked `r`, reckoned.
 """
 
 from __future__ import annotations
@@ -32,12 +32,13 @@
 CORE, MEMORY_MB, BYTES_S = 0.027, 128.0, 7000.0
 AWAY = 2 * (4 + 45) / 86_400.0  # changes of the list a second: machines that go and are back
 ZONE, IN_A_ROW, BURST = 80, 45, 60
+FILES = ("slopes", "members", "taking", "scale")
 NOT_YET = "*not measured yet*"
 UNITS = {
     "cpu_share": "of a core", "cpu_share_idle": "of a core", "cpu_share_changes": "of a core",
     "cpu_s_per_change": "s", "bytes_s": "bytes/s", "bytes_s_idle": "bytes/s", "bytes_s_changes": "bytes/s",
     "bytes_per_change": "bytes", "messages_s_idle": "messages/s", "messages_per_change": "messages",
-    "memory_mb": "MB", "writes_s": "writes/s", "reads_s": "reads/s",
+    "memory_mb": "MB", "cpu_ms": "ms", "bytes": "bytes", "writes_s": "writes/s", "reads_s": "reads/s",
 }
 
 
@@ -95,13 +96,16 @@
         self.lines: dict[str, Line] = {}
         self.runs: dict[str, dict[str, Any]] = {}
         files: dict[str, Any] = {}
-        for name in ("slopes", "members", "scale"):
+        for name in FILES:
             if (path := folder / f"{name}.json").exists():
                 files[name] = json.loads(path.read_text())
         for part, run in files.get("slopes", {}).get("parts", {}).items():
             self._take(part, run, run["figures"])
         if "members" in files:
             self._take("all_members", files["members"], files["members"]["fits"])
+        if "taking" in files:
+            taking = files["taking"]
+            self._take("taking", taking, {name: taking[name] for name in ("cpu_ms", "bytes")})
         if "scale" in files:
             for role, lines in files["scale"]["roles"].items():
                 self._take("scale", files["scale"], {f"{role}.{name}": raw for name, raw in lines.items()})
@@ -267,9 +271,14 @@
      lambda f, n: control(f, f("whole.idle_core_by_servers", SERVERS)), "idle + list + settings"),
     ("control: member of a set of all", "% of a core",
      lambda f, n: 100.0 * f("all_members.cpu_share", n), ""),
-    ("control: member of a set of all", "bytes/s in and out",
-     lambda f, n: 2.0 * f("voters.idle_bytes_a_voter", n),
-     "2 x line"),
+    ("control: member of a set of all", "bytes/s read and written",
+     lambda f, n: f("all_members.bytes_s", n), ""),
+    ("... signs of life alone", "bytes/s in and out",
+     lambda f, n: 2.0 * f("voters.idle_bytes_a_voter", n), "2 x line"),
+    ("control: a version that names 560 workers, told whole each time", "bytes/s",
+     lambda f, n: f("taking.bytes", SERVERS) * A_SECOND, "line at 560 x 1,400 a day"),
+    ("... taken", "% of a core",
+     lambda f, n: f("taking.cpu_ms", SERVERS) * A_SECOND / 10.0, "line at 560 x 1,400 a day"),
     *serving("follower", "control: follower"),
     ("control: in all, as a follower", "% of a core",
      lambda f, n: control(f, f("scale.follower.cpu_share_idle", n)), "follower idle + list + settings"),
@@ -361,7 +370,9 @@
      "each says a sign of life to each; nothing fails, but control takes from the jobs"),
     ("the same, from 3, 5 and 7 members alone", "dispatchers",
      lambda f, n: f.meets("members.idle_core_a_member", CORE), "as above"),
-    ("7 KB/s in and out, all dispatchers members", "dispatchers",
+    ("7 KB/s read and written, idle, all dispatchers members", "dispatchers",
+     lambda f, n: f.meets("all_members.bytes_s", BYTES_S), "as above"),
+    ("7 KB/s in and out, signs of life alone", "dispatchers",
      lambda f, n: f.meets("voters.idle_bytes_a_voter", BYTES_S / 2), "as above"),
 )
 FOLLOWERS: tuple[Limit, ...] = (
@@ -388,6 +399,8 @@
      lambda f, n: f("whole.job_ms_by_servers", n) * STARTS_S / 1e3, "jobs wait"),
     ("7 KB/s, contents told whole, 20 x the day's changes", "classes, each with a tenant",
      lambda f, n: f.meets("settings.contents_bytes", BYTES_S / (20.0 * A_SECOND)), "the difference is told"),
+    ("7 KB/s, a version that names workers, told whole, 20 x the day's changes", "workers",
+     lambda f, n: f.meets("taking.bytes", BYTES_S / (20.0 * A_SECOND)), "the difference is told"),
     ("128 MB, jobs open at one dispatcher", "jobs",
      lambda f, n: f.meets("whole.own_mb_by_open_jobs", MEMORY_MB), ""),
     ("128 MB, workers", "workers", lambda f, n: f.meets("whole.own_mb_by_servers", MEMORY_MB), ""),
@@ -463,12 +476,13 @@
     """The runs: command, when, and how busy the machine was."""
     rows = []
     for name, run in figures.runs.items():
-        machine = run.get("machine") if isinstance(run.get("machine"), dict) else {}
-        cores = str(run.get("cores", machine.get("cores", "") if machine else ""))
+        found = run.get("machine")
+        machine: dict[str, Any] = found if isinstance(found, dict) else {}
+        cores = str(run.get("cores", machine.get("cores", "")))
         late = run.get("late")
         lateness = f"{number(late['p99_ms'])} / {number(late['most_ms'])}" if isinstance(late, dict) else ""
         speed = " to ".join(map(str, run.get("yardstick_ms", ())))
-        at, load = str(run.get("at", "")), str(run.get("load", ""))
+        at, load = str(run.get("at", "")), str(run.get("load", machine.get("load_1min", "")))
         rows.append([name, f"`{run['command']}`", at, cores, load, lateness, speed])
     return table(["part", "command", "at", "cores", "load", "late, p99 / most, ms", "a fixed loop, ms"], rows)
 
@@ -502,7 +516,8 @@
     verdict = figures.runs.get("scale", {}).get("verdict")
     if verdict is None:
         return f"{text}\n\nHow long a change takes at scale: {NOT_YET}."
-    rows = [[label, number(float(verdict[name]))] for name, label in VERDICT.items() if name in verdict]
+    told = {name: verdict.get(name) for name in VERDICT}
+    rows = [[VERDICT[name], number(float(value))] for name, value in told.items() if value is not None]
     head = f"the scale run at {number(float(verdict.get('size', 0)))} dispatchers"
     return f"{text}\n\n{table([head, 'measured'], rows)}"
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,10 +10,10 @@
 from typing import Any
 
 import pytest
-from capacity import BLOCKS, FIGURES, MARK, NOT_YET, PAGE, Figures, number, written
+from capacity import BLOCKS, FIGURES, FILES, MARK, NOT_YET, PAGE, Figures, limits, number, written
 
 ROOT = Path(__file__).resolve().parent.parent
-FILES = sorted(path.name for path in FIGURES.glob("*.json") if path.stem in ("slopes", "members", "scale"))
+THERE = [f"{name}.json" for name in FILES if (FIGURES / f"{name}.json").exists()]
 LETTER = (
     "560 workers", "490 starts a second", "2,800 running", "gangs of up to 64", "250 teams with quotas",
     "urgent within 5 s", "2 regions with 7 zones", "1,400 changes a day", "2.7% of a core, 128 MB, 7 KB/s",
@@ -76,17 +76,18 @@
     return figures
 
 
-@pytest.mark.parametrize("file", FILES)
+@pytest.mark.parametrize("file", THERE)
 def test_a_figure_that_was_altered_is_found_out(file: str, tmp_path: Path) -> None:
     page, tried = PAGE.read_text(), 0
-    for name in FILES:
+    for name in THERE:
         shutil.copy(FIGURES / name, tmp_path / name)
     raw = json.loads((FIGURES / file).read_text())
-    chosen = {"slopes": "parts", "members": "fits", "scale": "roles"}[Path(file).stem]
-    for path in numbers(raw[chosen], (chosen,)):
-        assert written(page, altered(tmp_path, file, path)) != page, path
-        tried += 1
-    assert tried > 5
+    chosen = {"slopes": ("parts",), "members": ("fits",), "scale": ("roles",), "taking": ("cpu_ms", "bytes")}
+    for part in chosen[Path(file).stem]:
+        for path in numbers(raw[part], (part,)):
+            assert written(page, altered(tmp_path, file, path)) != page, path
+            tried += 1
+    assert tried > 3
 
 
 @pytest.mark.parametrize("name", BLOCKS)
@@ -116,6 +117,27 @@
         assert (ROOT / path).exists(), path
 
 
+def test_lines_of_the_scale_runs_are_read_and_say_where_a_limit_is_met(tmp_path: Path) -> None:
+    def line(base: float, slope: float) -> dict[str, Any]:
+        return {"base": base, "slope": slope, "per": "follower", "range": [28, 230], "error": 0.03}
+
+    run = {"command": "benchmarks/scale.py", "at": "2026-12-02T05:00:00Z", "machine": {"cores": 8}}
+    roles = {"follower": {"bytes_s_changes": line(1000.0, 30.0), "cpu_share_changes": line(0.01, 0.0)}}
+    taking = run | {"cpu_ms": line(3.0, 0.04), "bytes": line(600.0, 110.0)}
+    (tmp_path / "scale.json").write_text(json.dumps(run | {"roles": roles, "verdict": {"delay_p99_s": 1.5}}))
+    (tmp_path / "members.json").write_text(json.dumps(run | {"fits": {"cpu_share": line(0.002, 0.0005)}}))
+    (tmp_path / "taking.json").write_text(json.dumps(taking))
+    figures = Figures(tmp_path)
+    met = {row[0]: row[1] for row in rows(limits(figures))}
+    assert met["7 KB/s, a follower, 20 x the day's changes"] == "200 dispatchers"
+    assert met["2.7% of a core, a follower, 20 x the day's changes"] == "does not grow"
+    assert met["2.7% of a core, idle, all dispatchers members"] == "50 dispatchers"
+    assert met["7 KB/s, a version that names workers, told whole, 20 x the day's changes"].startswith("191 ")
+    page = blocks(written(PAGE.read_text(), figures))
+    assert "`benchmarks/scale.py`" in page["commands"] and "`taking.bytes`" in page["slopes"]
+    assert "met at 50 dispatchers" in page["first"]
+
+
 def test_no_figures_at_all_read_as_not_measured(tmp_path: Path) -> None:
     page = written(PAGE.read_text(), Figures(tmp_path))
     table = rows(blocks(page)["dispatcher"])
