--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,213 @@
+"""The scale run's own parts: its checker on wrong histories, its lines, its reading of costs."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import time
+
+import pytest
+from scaling.checker import KINDS, Acted, Asked, Away, History, Life, Split
+from scaling.fits import fit
+from scaling.processes import Cost, Rates
+
+
+def digest(number: int) -> str:
+    return hashlib.sha256(str(number).encode()).hexdigest()
+
+
+def asked(number: int, at: float) -> Asked:
+    return Asked(at, digest(number), at + 0.1, number, "v0")
+
+
+def acted(number: int, at: float, process: str, life: int = 1) -> Acted:
+    return Acted(at, process, life, number, digest(number))
+
+
+def good() -> History:
+    """Two versions, three processes, all in time; one was away and is back."""
+    history = History([Life("a", 1, 0.0), Life("b", 1, 0.0), Life("h", 1, 0.0, disk=False)], 60.0)
+    history.asked = [asked(1, 10.0), asked(2, 20.0)]
+    for process, late in (("a", 0.2), ("b", 0.4), ("h", 0.6)):
+        history.acted += [acted(1, 10.0 + late, process), acted(2, 20.0 + late, process)]
+    history.away = [Away("b", 19.0, 30.0)]
+    history.acted[3] = acted(2, 33.0, "b")
+    return history
+
+
+def kinds(history: History) -> set[str]:
+    wrong = history.wrong()
+    assert set(wrong) == set(KINDS)
+    return {kind for kind, lines in wrong.items() if lines}
+
+
+def test_a_right_history_is_passed() -> None:
+    history = good()
+    assert kinds(history) == set()
+    delays = {(d.process, d.number): d.seconds for d in history.delays()}
+    assert delays["a", 1] == pytest.approx(0.1)  # from the answer on
+    assert delays["b", 2] == pytest.approx(3.0)  # from its being back on
+    assert len(delays) == 6
+
+
+def test_going_back_is_seen() -> None:
+    history = good()
+    history.acted.append(acted(1, 40.0, "a"))
+    assert kinds(history) == {"back"}
+
+
+def test_going_back_over_a_restart_is_seen_where_there_is_a_disk() -> None:
+    history = good()
+    history.acted.append(acted(1, 40.0, "a", life=2))
+    assert kinds(history) == {"back"}
+
+
+def test_a_diskless_one_may_begin_anew() -> None:
+    history = good()
+    history.acted += [acted(1, 40.0, "h", life=2), acted(2, 40.1, "h", life=2)]
+    assert kinds(history) == set()
+    history.acted.append(acted(1, 41.0, "h", life=2))
+    assert kinds(history) == {"back"}
+
+
+def test_half_a_version_is_seen() -> None:
+    history = good()
+    history.acted[0] = history.acted[0]._replace(whole=False)
+    assert kinds(history) == {"half"}
+
+
+def test_contents_that_nobody_asked_for_are_seen() -> None:
+    history = good()
+    history.acted[2] = history.acted[2]._replace(digest=digest(77))
+    assert "half" in kinds(history)
+
+
+def test_two_versions_of_one_number_are_seen() -> None:
+    history = good()
+    history.asked.append(Asked(20.0, digest(9), 20.1, -1))
+    history.acted[1] = history.acted[1]._replace(digest=digest(9))
+    assert kinds(history) == {"majority"}
+
+
+def test_in_force_in_a_split_is_seen() -> None:
+    history = good()
+    history.splits = [Split(19.0, 30.0)]
+    assert kinds(history) == {"majority"}
+
+
+def test_a_change_asked_in_a_split_may_come_into_force_after_it() -> None:
+    history = good()
+    history.splits = [Split(19.0, 20.05)]
+    assert kinds(history) == set()
+
+
+def test_told_decided_in_a_split_is_seen() -> None:
+    history = good()
+    history.asked.append(Asked(50.0, digest(3), 50.2, 3, "v0"))
+    history.splits = [Split(49.0, 60.0)]
+    assert "majority" in kinds(history)
+
+
+def test_in_force_what_was_turned_down_is_seen() -> None:
+    history = good()
+    history.asked[1] = history.asked[1]._replace(number=0)
+    assert "majority" in kinds(history)
+
+
+def test_two_operators_told_the_same_number_are_seen() -> None:
+    history = good()
+    history.asked.append(Asked(20.0, digest(8), 20.1, 2, "v1"))
+    assert kinds(history) == {"majority"}
+
+
+def test_in_force_before_it_was_asked_for_is_seen() -> None:
+    history = good()
+    history.acted[5] = acted(2, 12.0, "h")
+    assert "majority" in kinds(history)
+
+
+def test_too_late_is_seen() -> None:
+    history = good()
+    history.acted[5] = acted(2, 29.5, "h")
+    assert kinds(history) == {"late"}
+    history.acted[5] = acted(2, 28.5, "h")
+    assert kinds(history) == set()
+
+
+def test_too_late_after_being_back_is_seen() -> None:
+    history = good()
+    history.acted[3] = acted(2, 39.5, "b")
+    assert kinds(history) == {"late"}
+
+
+def test_a_missing_one_is_seen() -> None:
+    history = good()
+    del history.acted[5]
+    assert kinds(history) == {"missing"}
+
+
+def test_one_that_never_says_anything_is_missing() -> None:
+    history = good()
+    history.lives.append(Life("silent", 1, 0.0))
+    assert kinds(history) == {"missing"}
+
+
+def test_one_that_begins_anew_must_hear_of_it_again() -> None:
+    history = good()
+    history.lives = [*history.lives[:2], Life("h", 1, 0.0, 30.0, False), Life("h", 2, 31.0, disk=False)]
+    assert kinds(history) == {"missing"}
+    history.acted.append(acted(2, 41.0, "h", life=2))
+    assert kinds(history) == {"late"}
+    history.acted[-1] = acted(2, 39.0, "h", life=2)
+    assert kinds(history) == set()
+
+
+def test_one_that_is_away_again_has_its_time_anew() -> None:
+    history = good()
+    history.away.append(Away("b", 32.0, 40.0))
+    history.acted[3] = acted(2, 48.0, "b")
+    assert kinds(history) == set()
+    history.acted[3] = acted(2, 49.5, "b")
+    assert kinds(history) == {"late"}
+
+
+def test_one_that_is_away_to_the_end_is_not_missing() -> None:
+    history = good()
+    del history.acted[5]
+    history.away.append(Away("h", 19.0, 60.0))
+    assert kinds(history) == set()
+
+
+def test_a_later_version_stands_for_an_earlier_one() -> None:
+    history = good()
+    history.asked.append(asked(3, 21.0))
+    history.acted += [acted(3, 21.2, process) for process in "ah"]
+    history.acted[3] = acted(3, 33.0, "b")
+    assert kinds(history) == set()
+
+
+def test_a_line_is_found_and_its_error_told() -> None:
+    line = fit([(10.0, 3.0), (20.0, 5.0), (40.0, 9.0)])
+    assert [line.base, line.slope, line.error] == pytest.approx([1.0, 0.2, 0.0])
+    assert line.at(560.0) == pytest.approx(113.0)
+    assert line.reaches(21.0) == pytest.approx(100.0)
+    assert fit([(1.0, 1.0), (2.0, 1.0)]).reaches(2.0) is None
+    assert fit([(10.0, 10.0), (20.0, 40.0), (30.0, 30.0)]).error > 0.15
+    with pytest.raises(ValueError, match="two sizes"):
+        fit([(1.0, 1.0), (1.0, 2.0)])
+
+
+def test_what_a_process_costs_is_read() -> None:
+    before = Cost.of(os.getpid())
+    until = time.process_time() + 0.05
+    while time.process_time() < until:
+        pass
+    reading, writing = os.pipe()
+    os.write(writing, b"x" * 1000)
+    os.read(reading, 1000)
+    rates, after = Rates.between(before, Cost.of(os.getpid())), Cost.of(os.getpid())
+    os.close(reading)
+    os.close(writing)
+    assert after.cpu_s - before.cpu_s >= 0.04
+    assert after.bytes_out - before.bytes_out >= 1000 and after.writes - before.writes >= 1
+    assert rates.cpu_share > 0.0 and rates.memory_mb > 5.0
