--- a/benchmarks/scaling/hollow.py
+++ b/benchmarks/scaling/hollow.py
@@ -20,11 +20,11 @@
 from typing import Any
 
 import uvloop
-from grebestack.mesh.follower import FollowerNode, FollowerSettings, RelayAddress
-from grebestack.program.configuring import checked
 
+from grebestack.mesh.follower import FollowerNode, FollowerSettings, RelayAddress
 from grebestack.program import log
 from grebestack.program.config import Config, ConfigError, from_file
+from grebestack.program.configuring import checked
 from scaling.marks import whole
 
 FLUSH_S, COUNTS_S = 0.2, 1.0
--- a/benchmarks/scaling/taking.py
+++ b/benchmarks/scaling/taking.py
@@ -6,9 +6,8 @@
 from pathlib import Path
 from typing import Any
 
-from grebestack.program.configuring import checked
-
 from grebestack.program.config import from_file
+from grebestack.program.configuring import checked
 from scaling.fits import fit
 from tests.standins import APPLIANCE_SETTINGS
 
