--- a/benchmarks/scaling/fleet.py
+++ b/benchmarks/scaling/fleet.py
@@ -34,7 +34,7 @@
 RELAYS = {f"r{n + 1}": (*ZONES, ZONES[4])[n] for n in range(8)}  # one on each of the eight machines
 REAL_IN = (ZONES[0], ZONES[3], ZONES[4], ZONES[6])
 ALONE, EMPTY = "alone", "hollow-empty"  # a dispatcher that follows nothing; a hollow process of no followers
-IN_FORCE = "configuration_in_force"
+IN_FORCE = "configuration_laid"
 READY_S = 60.0
 CHANGE_EVERY_S = 86_400.0 / (20 * 1400)  # twenty times the day's mean
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,13 +5,33 @@
 import hashlib
 import os
 import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
 
 import pytest
+import scale
 from scaling.checker import KINDS, Acted, Asked, Away, History, Life, Split
+from scaling.faults import Player
 from scaling.fits import fit
-from scaling.fleet import acts_of_hollow, acts_of_log, contents, number_of
+from scaling.fleet import (
+    RELAYS,
+    VOTERS,
+    ZONES,
+    Fleet,
+    acts_of_hollow,
+    acts_of_log,
+    contents,
+    held,
+    number_of,
+    region,
+)
 from scaling.marks import whole
 from scaling.processes import Cost, Rates, Traffic, read_sockets
+from scaling.run import agreement
+
+from grebestack.audit.stamps import digest as digest_of
+from grebestack.program.config import from_file, from_text
 
 
 def digest(number: int) -> str:
@@ -223,10 +243,10 @@
 
 
 LOG = """life 1
-ts=2026-12-02T04:00:00.250Z level=info event=configuration_in_force number=3 digest=ab settings=s1 servers=t1
+ts=2026-12-02T04:00:00.250Z level=info event=configuration_laid number=3 digest=ab settings=s1 servers=t1
 ts=2026-12-02T04:00:01.250Z level=info event=another number=4 digest=cd
 life 2
-ts=2026-12-02T04:00:02.000Z level=info event=configuration_in_force number=5 digest=ef settings=s1 servers=t2
+ts=2026-12-02T04:00:02.000Z level=info event=configuration_laid number=5 digest=ef settings=s1 servers=t2
 """
 
 
@@ -270,3 +290,78 @@
     assert after.cpu_s - before.cpu_s >= 0.04
     assert after.bytes_out - before.bytes_out >= 1000 and after.writes - before.writes >= 1
     assert rates.cpu_share > 0.0 and rates.memory_mb > 5.0
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(tmp_path, 28, 1)
+    yield made
+    made.close()
+
+
+def test_the_layout_is_what_the_program_reads(fleet: Fleet) -> None:
+    configs = {path.stem: from_file(str(path)) for path in fleet.folder.glob("*.toml")}
+    forces = {name: config.force for name, config in configs.items() if config.force is not None}
+    assert set(forces) == {*VOTERS, *RELAYS, *(f"real{n}" for n in range(1, 5))}
+    assert all(configs[name].fleet is not None for name in VOTERS)
+    assert {name for name, force in forces.items() if force.follow} == set(forces) - set(VOTERS)
+    for name, force in forces.items():
+        wanted = set(VOTERS) if name in VOTERS else {*VOTERS, name} if name in RELAYS else set(RELAYS)
+        assert set(force.relays) == wanted
+        for other, relay in force.relays.items():
+            near = region(fleet.places[name].place) == region((VOTERS | RELAYS)[other])
+            assert (relay.address[1] == fleet.feed[other]) is near  # else by a gate
+    hollow = [name for place in fleet.places.values() for name in place.followers]
+    assert len(set(hollow)) == 28 - 4
+    assert {place.place for place in fleet.places.values() if place.followers} == set(ZONES)
+
+
+def test_a_cut_is_of_all_gates_and_one_way_of_half(fleet: Fleet) -> None:
+    ways = fleet.proxy.ways
+    assert {fleet.region_of(a) != fleet.region_of(b) for a, b in ways} == {True}
+    assert sum(fleet.region_of(a) == "east" for a, _ in ways) == len(ways) // 2 > 0
+    player = Player(fleet, 1, True)
+    player._ways(list(ways), True)
+    assert all(way.cut for way in ways.values())
+    player._ways(list(ways), False)
+    assert not any(way.cut for way in ways.values())
+
+
+def test_who_is_behind_is_seen(fleet: Fleet) -> None:
+    fleet.lives = {("h000", 1): Life("h000", 1, 0.0, disk=False), ("h007", 1): Life("h007", 1, 0.0, 5.0)}
+    fleet.asked = [Asked(1.0, "ab", 1.1, 3, "v1")]
+    acts = fleet.folder / "hollow-a1.acts"
+    acts.write_text("acted 2.0 h000 1 2 aa 1\n")
+    assert fleet.behind() == ["h000"] and fleet.behind(2) == []
+    acts.write_text("acted 2.0 h000 1 2 aa 1\nacted 3.0 h000 1 3 ab 1\nacted 3.5 h000 1 4 a")
+    assert fleet.behind() == []  # a line that is not whole is not read
+
+
+def test_what_a_dispatcher_holds_is_reckoned_from_contents(fleet: Fleet) -> None:
+    assert held(contents(1)) != held(contents(2)) and held(contents(1)) == held(contents(1, 4000))
+    path = fleet.folder / "alone.toml"
+    config = from_text(str(path), path.read_text(), contents(5))
+    assert held(contents(5)) == (digest_of(config.options), digest_of([*map(dict, config.servers.entries)]))
+
+
+def row(size: int, slope: float = 0.1, late: bool = False) -> dict[str, Any]:
+    roles = {role: dict.fromkeys(scale.LINES, 1.0 + slope * size) for role in scale.PER}
+    return {"size": size, "served_each_relay": size / 8, "late": late, "roles": roles}
+
+
+def test_lines_foretell_a_size_from_those_in_time() -> None:
+    lines = scale.lines_of([row(28), row(56), row(112, 0.7, late=True), row(230)])
+    told = scale.foretold(lines, row(560))
+    assert told["voter"]["memory_mb"] == {"foretold": 57.0, "measured": 57.0, "error": 0.0}
+    assert told["relay"]["memory_mb"]["error"] == 0.0
+    off = scale.foretold(lines, row(560, 0.2))
+    assert off["real"]["cpu_share_idle"]["error"] == pytest.approx(-0.4956, abs=1e-3)
+
+
+def test_hollow_ones_count_within_a_fifth() -> None:
+    figures = dict.fromkeys(scale.LINES, 1.0)
+    found = {"real": figures, "hollow": figures | {"bytes_s_idle": 1.19, "messages_s_idle": 1.3},
+             "alone": dict.fromkeys(scale.LINES, 0.5)}
+    counts = {name: one["counts"] for name, one in agreement(found).items()}
+    assert counts["bytes_s_idle"] and not counts["messages_s_idle"]
+    assert not counts["cpu_share_idle"]  # half of it is that of a dispatcher that is alone
