--- a/grebestack/program/configuring.py
+++ b/grebestack/program/configuring.py
@@ -29,6 +29,7 @@
 from grebestack.program.config import Config, ConfigError, ForceConfig, StartError, check, from_text, read
 
 log = logging.getLogger(__name__)
+SPARE_S = 0.3  # a start waits so long beyond what a version on the disk waits for a relay
 FOLDER = "configuration"  # within the fleet's folder
 # Seams for tests, which no operator's file can reach.
 FILES: Callable[[], Files] = Files
@@ -77,7 +78,7 @@
         self.host = host
         self.path = host.config.path
         self.text = read(self.path)
-        self.contents = b""
+        self.contents: bytes | None = None  # of the version in force; None: none is
 
     def reread(self) -> Config:
         """The local file, read again, under the version in force. ConfigError: it can't be used."""
@@ -111,14 +112,13 @@
             why = self.host.adopt(config)
         kv: dict[str, object] = {"number": version.number, "digest": version.digest}
         if why:
-            log.error("configuration_refused", extra={"kv": kv | {"why": why}})
             return why
         self.contents = contents
         # What is in force is said by what the dispatcher holds now, not by what it was given.
         now = self.host.config
         kv |= {"by": version.by, "since_ms": version.since_ms, "at_ms": round(monotonic_ms(), 1)}
         kv |= {"settings": digest(now.options), "servers": digest([*map(dict, now.servers.entries)])}
-        log.info("configuration_in_force", extra={"kv": kv})
+        log.info("configuration_laid", extra={"kv": kv})
         return ""
 
 
@@ -176,7 +176,7 @@
         part = self.voter or self.follower
         assert part is not None
         part.settled = self._settled
-        self.loop.call_later(2.0 * START_MS / 1000.0, self._settled)
+        self.loop.call_later(START_MS / 1000.0 + SPARE_S, self._settled)
         part.start()
         await self.started
 
