--- a/benchmarks/scaling/checker.py
+++ b/benchmarks/scaling/checker.py
@@ -75,7 +75,7 @@
     process: str
     number: int
     seconds: float
-    faulty: bool  # the process was away meanwhile, or a fault went on
+    faulty: bool  # the process began, was away meanwhile, or a fault went on
 
 
 @dataclass
@@ -162,7 +162,7 @@
 
     def _reachable(self, life: Life, at: float, act: float | None, limit_s: float) -> tuple[float, bool]:
         """From when it could be reached for a limit without a break; whether it was away before that."""
-        begin, faulty = max(at, life.begin), False
+        begin, faulty = max(at, life.begin), at < life.begin
         for gone in sorted(a for a in self.away if a.process == life.process):
             earlier = act is None or act > gone.begin - SLACK_S
             if gone.end > begin and gone.begin - SLACK_S < begin + limit_s and earlier:
--- a/benchmarks/scaling/fleet.py
+++ b/benchmarks/scaling/fleet.py
@@ -104,7 +104,8 @@
     if answer.startswith("SUCCESS"):
         found = re.search(r"(?:version|number) (\d+)", answer)
         return int(found.group(1)) if found else -1
-    return 0 if "overtaken" in answer or "holds" in answer or "won" in answer else -1
+    lost = "won with" in answer or "another change is under way" in answer
+    return 0 if lost and "not known" not in answer else -1
 
 
 @dataclass
