--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -91,11 +91,13 @@
     good = [row for row in found if not row["late"]]
     # Hollow ones have no engine and no disk: where they cost another processor time, they have no line of it.
     off = {name for row in good for name, one in row["agreement"].items() if not one["counts"]}
+    if "cpu_s_per_change" in off:
+        off.add("cpu_share_changes")
     lines: dict[str, dict[str, Line]] = {}
     for role in PER:
         for name in LINES if len(good) >= 2 else ():
             key = "served_each_relay" if role == "relay" else "size"
-            if role == "hollow" and (name in off or name == "cpu_share_changes" and "cpu_s_per_change" in off):
+            if role == "hollow" and name in off:
                 continue
             lines.setdefault(role, {})[name] = fit([(row[key], row["roles"][role][name]) for row in good])
     return lines
