--- a/benchmarks/scaling/checker.py
+++ b/benchmarks/scaling/checker.py
@@ -36,7 +36,8 @@
     digest: str
     answered: float
     number: int  # as answered; 0: turned down, and by whom it was overtaken is told; -1: nobody knows
-    by: str = ""
+    by: str = ""  # at whose door
+    holders: int | None = None  # voters that are said to hold its contents on their disks; None: not said
 
 
 class Life(NamedTuple):
@@ -89,7 +90,7 @@
     away: list[Away] = field(default_factory=list)
     splits: list[Split] = field(default_factory=list)
     faults: list[tuple[float, float]] = field(default_factory=list)  # when something was out of order
-    first_digest: str = ""  # of what all begin with, number 0 or 1
+    voters: int = 5
 
     def wrong(self, limit_s: float = LIMIT_S) -> dict[str, list[str]]:
         """Every rule that is broken, by its kind."""
@@ -123,7 +124,7 @@
                 highest[key] = act
 
     def _half(self) -> Iterable[str]:
-        known = {a.digest for a in self.asked} | {self.first_digest}
+        known = {ask.digest for ask in self.asked}
         for act in self.acted:
             if not act.whole:
                 yield f"{act.process} acted under half of {act.number} at {act.at:.3f}"
@@ -156,6 +157,8 @@
                 if split.holds(ask) and act.at < split.end - SLACK_S:
                     yield f"{act.process} acted under {act.number}, asked for and in force without a majority"
         for ask in self.asked:
+            if ask.number > 0 and ask.holders is not None and ask.holders <= self.voters // 2:
+                yield f"{ask.number} was told to be decided, held by {ask.holders} of {self.voters}"
             for split in self.splits:
                 if ask.number > 0 and split.holds(ask) and ask.answered < split.end - SLACK_S:
                     yield f"{ask.number} was told to be decided at {ask.answered:.3f}, without a majority"
--- a/benchmarks/scaling/fleet.py
+++ b/benchmarks/scaling/fleet.py
@@ -108,6 +108,12 @@
     return 0 if lost and "not known" not in answer else -1
 
 
+def holders_of(answer: str) -> int | None:
+    """How many voters an answer to `configure` says to hold the contents; None: it says nothing of it."""
+    found = re.search(r"held by ([\w, -]+)", answer)
+    return len({name.strip() for name in found.group(1).split(",")}) if found else None
+
+
 @dataclass
 class Place:
     """One process of the fleet."""
@@ -303,7 +309,7 @@
         self.expected[of] = held(data)
         at = time.time()
         answer = self.shown(voter, f"configure {path}")
-        ask = Asked(at, of, time.time(), number_of(answer), voter)
+        ask = Asked(at, of, time.time(), number_of(answer), voter, holders_of(answer))
         with self.guard:
             self.asked.append(ask)
             with (self.folder / "asked.log").open("a") as log:
