--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,6 +23,7 @@
     acts_of_log,
     contents,
     held,
+    holders_of,
     number_of,
     region,
 )
@@ -138,6 +139,14 @@
     assert kinds(history) == {"majority"}
 
 
+def test_decided_on_too_few_disks_is_seen() -> None:
+    history = good()
+    history.asked[0] = history.asked[0]._replace(holders=3)
+    assert kinds(history) == set()
+    history.asked[0] = history.asked[0]._replace(holders=2)
+    assert kinds(history) == {"majority"}
+
+
 def test_in_force_what_was_turned_down_is_seen() -> None:
     history = good()
     history.asked[1] = history.asked[1]._replace(number=0)
@@ -272,6 +281,8 @@
 
 def test_the_answer_to_a_change_is_read() -> None:
     assert number_of("SUCCESS version 12 is in force, digest ab, held by v1, v2, v3") == 12
+    assert holders_of("SUCCESS version 12 is in force, digest ab, held by v1, v2, v3") == 3
+    assert holders_of("FAILURE v2 won with number 13") is None
     assert number_of("FAILURE v2 won with number 13") == 0
     assert number_of("FAILURE another change is under way at v1") == 0
     assert number_of("FAILURE v2 won with number 13; whether this one was in force before is not known") == -1
