--- a/benchmarks/scaling/fleet.py
+++ b/benchmarks/scaling/fleet.py
@@ -202,7 +202,7 @@
             for relay, where in RELAYS.items()
         }
         path.write_text(json.dumps({
-            "base": str(base), "fleet": "scale", "followers": dict.fromkeys(followers, place),
+            "base": str(base), "fleet": "scale", "followers": {},
             "relays": relays, "acts": str(self.folder / f"{name}.acts"),
         }))
         words = ["scaling.hollow", str(path)]
@@ -217,16 +217,19 @@
         place.life += 1
         with (self.folder / f"{name}.log").open("a") as log:
             log.write(f"life {place.life}\n")
+        if place.role in ("hollow", "empty"):
+            path = Path(place.words[-1])
+            raw = json.loads(path.read_text())
+            raw["followers"] = {follower: [place.place, self._born(follower)] for follower in place.followers}
+            path.write_text(json.dumps(raw))
         self.processes.start(name, place.words, place.role in ("hollow", "empty"))
-        if place.role == "hollow":
-            for follower in place.followers:
-                self._born(follower)
-        elif place.role in ("voter", "relay", "real"):
+        if place.role in ("voter", "relay", "real"):
             self.lives[name, place.life] = Life(name, place.life, time.time())
 
-    def _born(self, follower: str) -> None:
+    def _born(self, follower: str) -> int:
         life = self.hollow_lives[follower] = self.hollow_lives.get(follower, 0) + 1
         self.lives[follower, life] = Life(follower, life, time.time(), disk=False)
+        return life
 
     def _ended(self, name: str, life: int) -> None:
         if (name, life) in self.lives:
@@ -250,9 +253,8 @@
         stdin = self.processes.running[holder].stdin
         assert stdin is not None
         self._ended(name, self.hollow_lives[name])
-        stdin.write(f"stop {name}\nstart {name}\n".encode())
+        stdin.write(f"stop {name} 0\nstart {name} {self._born(name)}\n".encode())
         stdin.flush()
-        self._born(name)
 
     def run(self) -> None:
         """Start it all, in order. RuntimeError: it did not come up."""
--- a/benchmarks/scaling/hollow.py
+++ b/benchmarks/scaling/hollow.py
@@ -2,9 +2,9 @@
 
     PYTHONPATH=benchmarks python -m scaling.hollow FILE.json
 
-The file: `base` (an operator's file for the sections to be laid over), `fleet`, `followers` (name -> place),
-`relays` (name -> address, place), `acts` (where is written who acts under which version, and when). Lines on
-standard input: `stop NAME`, `start NAME`. Each second it writes the sums of all counts to `acts` as well.
+The file: `base` (an operator's file for the sections to be laid over), `fleet`, `followers` (name -> place,
+life), `relays` (name -> address, place), `acts` (where is written who acts under which version, and when). On
+standard input: `stop NAME LIFE`, `start NAME LIFE`. Each second the sums of all counts go to `acts` as well.
 """
 
 from __future__ import annotations
@@ -58,7 +58,6 @@
             for name, relay in raw["relays"].items()
         }
         self.nodes: dict[str, FollowerNode] = {}
-        self.lives: Counter[str] = Counter()
         self.past: Counter[str] = Counter()  # counts of those that have been stopped
         self.lines: list[str] = []
         self.acts = os.open(raw["acts"], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
@@ -68,21 +67,20 @@
 
     def begin(self) -> None:
         """Start them all."""
-        for name in self.raw["followers"]:
-            self.start(name)
+        for name, (_, life) in self.raw["followers"].items():
+            self.start(name, life)
         self.loop.add_reader(0, self._ordered)
         self._flush()
         self._count()
 
-    def start(self, name: str) -> None:
+    def start(self, name: str, life: int) -> None:
         """Start one, anew if it was stopped: it has no disk."""
-        self.lives[name] += 1
         self.layings[name] = Laying(HollowHost(self.base))
         settings = FollowerSettings(
-            name=name, fleet=self.raw["fleet"], place=self.raw["followers"][name], relays=self.relays,
+            name=name, fleet=self.raw["fleet"], place=self.raw["followers"][name][0], relays=self.relays,
             folder="",
         )
-        take = partial(self._take, name, self.lives[name])
+        take = partial(self._take, name, life)
         self.nodes[name] = node = FollowerNode(self.loop, settings, take)
         node.start()
 
@@ -123,11 +121,11 @@
             return
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
-            order, name = line.decode().split()
+            order, name, life = line.decode().split()
             if order == "stop":
                 self.stop(name)
             else:
-                self.start(name)
+                self.start(name, int(life))
 
 
 def main() -> int:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -33,6 +33,7 @@
 
 from grebestack.audit.stamps import digest as digest_of
 from grebestack.program.config import from_file, from_text
+from tests.standins import wait_until
 
 
 def digest(number: int) -> str:
@@ -251,6 +252,24 @@
     assert found[34].total() == (2015.0, 4.0)
 
 
+def test_a_small_fleet_is_run_and_judged(fleet: Fleet) -> None:
+    fleet.run()
+    wait_until(lambda: fleet.change("v2").number > 0, 60.0)
+    wait_until(lambda: not fleet.behind(), 60.0)
+    fleet.restart("h000")
+    fleet.kill("hollow-b1")
+    fleet.start("hollow-b1")
+    fleet.restart("real2")
+    wait_until(lambda: fleet.change("v3").number > 0, 60.0)
+    wait_until(lambda: not fleet.behind(), 60.0)
+    history = fleet.history()
+    assert {act.life for act in history.acted if act.process in ("h000", "h004", "real2")} == {1, 2}
+    wrong = history.wrong(60.0)  # how long it takes on a busy machine does not matter here
+    assert {kind: lines for kind, lines in wrong.items() if lines} == {}
+    assert len(history.decided()) >= 3 and not fleet.processes.ended()
+    assert any(counts["messages_in"] > 0 for _, counts in fleet.counts())
+
+
 LOG = """life 1
 ts=2026-12-02T04:00:00.250Z level=info event=configuration_laid number=3 digest=ab settings=s1 servers=t1
 ts=2026-12-02T04:00:01.250Z level=info event=another number=4 digest=cd
