--- a/benchmarks/scaling/faults.py
+++ b/benchmarks/scaling/faults.py
@@ -57,7 +57,8 @@
         if not self.quick:
             faults += [
                 ("relay silent", self.silent_relay), ("client stopped", self.client),
-                ("burst at one door", self.burst_at_one), ("zone killed", self.zone), ("one way cut", self.one_way), ("majority killed", self.majority),
+                ("burst at one door", self.burst_at_one), ("zone killed", self.zone),
+                ("one way cut", self.one_way), ("majority killed", self.majority),
             ]
         self.random.shuffle(faults)
         with self.changer:
