--- a/benchmarks/scaling/fleet.py
+++ b/benchmarks/scaling/fleet.py
@@ -12,8 +12,6 @@
 import re
 import shlex
 import signal
-import subprocess
-import sys
 import threading
 import time
 import tomllib
@@ -25,7 +23,7 @@
 from grebestack.audit.stamps import digest
 from scaling.checker import Acted, Asked, Away, History, Life, Split
 from scaling.ports import quiet_port
-from scaling.processes import ROOT, Processes
+from scaling.processes import Processes
 from tests.cluster import Proxy
 from tests.standins import APPLIANCE_SETTINGS, answers, say
 
@@ -258,9 +256,14 @@
 
     def run(self) -> None:
         """Start it all, in order. RuntimeError: it did not come up."""
+        forming = [
+            self.processes.start(f"form-{name}", ["grebestack", "form", *self.places[name].words[1:]])
+            for name in VOTERS
+        ]
+        if any([process.wait(READY_S) for process in forming]):
+            raise RuntimeError(f"form: {[process.returncode for process in forming]}")
         for name in VOTERS:
-            words = ["-m", "grebestack", "form", "--config", str(self.folder / f"{name}.toml")]
-            subprocess.run([sys.executable, *words], cwd=ROOT, check=True, stdout=subprocess.DEVNULL)
+            del self.processes.running[f"form-{name}"]
         for name in (*VOTERS, *RELAYS):
             self.start(name)
         self._until("a majority", lambda: all(
