--- a/grebestack/program/configuring.py
+++ b/grebestack/program/configuring.py
@@ -29,6 +29,7 @@
 from grebestack.program.config import Config, ConfigError, ForceConfig, StartError, check, from_text, read
 
 log = logging.getLogger(__name__)
+DECIDED_S = 0.7  # the door wants its answer by then; see control.door.ANSWER_S
 SPARE_S = 0.3  # a start waits so long beyond what a version on the disk waits for a relay
 FOLDER = "configuration"  # within the fleet's folder
 # Seams for tests, which no operator's file can reach.
@@ -79,18 +80,19 @@
         self.path = host.config.path
         self.text = read(self.path)
         self.contents: bytes | None = None  # of the version in force; None: none is
+        self.whole = host.config  # the two together; what of it needs a restart, the host does not act under
 
     def reread(self) -> Config:
         """The local file, read again, under the version in force. ConfigError: it can't be used."""
         text = read(self.path)
         config = from_text(self.path, text, self.contents)
-        self.text = text
+        self.text, self.whole = text, config
         return config
 
     def look(self, contents: bytes) -> Config:
         """What a version would put in force here. ConfigError: why it can't."""
         config = checked(self.path, self.text, contents, self.host.config)
-        before = self.host.waits(from_text(self.path, self.text, self.contents))
+        before = self.host.waits(self.whole)
         for name in self.host.waits(config):
             if name not in before:
                 if name == "options":
@@ -113,7 +115,7 @@
         kv: dict[str, object] = {"number": version.number, "digest": version.digest}
         if why:
             return why
-        self.contents = contents
+        self.contents, self.whole = contents, config
         # What is in force is said by what the dispatcher holds now, not by what it was given.
         now = self.host.config
         kv |= {"by": version.by, "since_ms": version.since_ms, "at_ms": round(monotonic_ms(), 1)}
@@ -192,12 +194,18 @@
 
     # The door.
 
-    def shown(self) -> str:
-        """The version in force, and what is known of the others', for one line."""
-        parts = [part.shown() for part in (self.voter, self.follower) if part is not None]
+    def lines(self) -> list[str]:
+        """The version in force, and what is known of the others'."""
+        lines = self.voter.shown() if self.voter is not None else []
+        if self.follower is not None:
+            lines.append(self.follower.shown())
         if self.relay is not None:
-            parts.append(f"relay: {self.relay.relay.shown(CLOCK())}")
-        return "; ".join(parts)
+            lines.append(self.relay.relay.shown(CLOCK()))
+        return lines
+
+    def shown(self) -> str:
+        """The same for one line."""
+        return "; ".join(self.lines())
 
     def configure(self, path: str, reply: Callable[[Answer], None]) -> None:
         """An operator wants a file's contents in force everywhere."""
@@ -222,6 +230,11 @@
                 text = outcome.why
             reply(Answer(outcome.won, text))
 
+        def late() -> None:  # the door takes the first answer alone
+            text = "no majority has decided it yet; it may still come into force: look with `fleet`"
+            reply(Answer(False, text))
+
+        self.loop.call_later(DECIDED_S, late)
         self.voter.propose(contents, ended)
 
 
