--- a/grebestack/core/state.py
+++ b/grebestack/core/state.py
@@ -56,6 +56,7 @@
     """Means and quantiles of what was seen, each following its samples by a small share."""
 
     SHARE = 0.02  # of each sample
+    FALL = 0.2  # by which a minimum follows a sample below it
 
     def __init__(self, tick_ms: float, chance: Random) -> None:
         self.tick_ms, self.chance = tick_ms, chance
@@ -67,7 +68,7 @@
         self.kind_slots: dict[int, float] = {}  # most slots seen at once on one worker of a kind
         self.kind_weight: dict[int, float] = {}  # the highest weight in the list for a kind: its size
         self.others = (0.0, 0.0)  # slots and memory that the other dispatchers have at a worker on the whole
-        self.start_ms = {True: tick_ms, False: tick_ms}  # a prompt start, in the own zone or another
+        self.start_ms: dict[bool, float] = {}  # a start at an idle worker, in the own zone or another
 
     def classes(self, classes: Sequence[JobClass]) -> None:
         """There are these classes now: one that has taken on another meaning is taken to run as it did."""
@@ -116,13 +117,18 @@
     def start(self, own_zone: bool, delay_ms: float) -> None:
         """A job started, or did not, after so long.
 
-        A low quantile is followed: it guards against patience that grows with the queues until every start
-        looks prompt.
+        From the first one on about their minimum is followed, as congestion control by delay follows the
+        shortest round trip: it guards against patience that grows with the queues until every start looks
+        prompt. A first guess of a tick was never corrected where the way alone takes several ticks.
         """
-        known = self.start_ms[own_zone]
-        step = 1 + self.SHARE / 4 if delay_ms > known else 1 - self.SHARE
+        known = self.start_ms.get(own_zone, delay_ms)
+        step = 1 + self.SHARE / 4 if delay_ms > known else 1 - self.FALL
         self.start_ms[own_zone] = max(self.tick_ms, known * step)
 
+    def start_in(self, own_zone: bool) -> float:
+        """How soon a job starts at an idle worker, in milliseconds; a tick before anything is known."""
+        return self.start_ms.get(own_zone, self.tick_ms)
+
     def in_work(self, kind: int, slots: float) -> None:
         """So many slots are in work, or reported free, at once on one worker."""
         self.kind_slots[kind] = max(self.kind_slots.get(kind, 1.0), slots)
