Let one job in each second however late starts are: a shut door told nothing of drained queues

Cause: at its floor of 0.05 (core/policy.py, _place) a dispatcher passes 15 arrivals without an attempt by chance. Now one is let in where nothing was sent for a second; the test of a second without any fails before (1.26 s).

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -32,7 +32,7 @@
 AHEAD = 0.5  # of its class's aim a job may wait at a worker: word of a free slot comes too late to fill it
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
-REGAIN, YIELD, LET_IN = 1.15, 0.5, 0.05  # of the jobs let in: by a prompt start, a congestion, at least
+REGAIN, YIELD, LET_IN, PROBE_MS = 1.15, 0.5, 0.05, 1e3  # let in: prompt start, congestion; least, or one in
 KEEP, FETCH = 4, 16.0  # keys of ours that a worker is taken to keep; a fetch far from home, in running times
 SCAN_MOST, SCAN_HEADS = 6, 3  # a scan: workers that look for their best job, held requests tried of a level
 
@@ -79,7 +79,7 @@
     """The decisions of one dispatcher: feed it events, carry out the actions it returns."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.random, self.now = random.Random(seed), 0.0
+        self.random, self.now, self.probe_at = random.Random(seed), 0.0, 0.0
         self.workers: dict[str, WorkerView] = {}
         self.requests, self.held = state.Ledger(), state.HeldRequests()
         self.orders: dict[OrderKey, list[WorkerView]] = {}
@@ -349,8 +349,8 @@
             if not request.out():
                 self._give_up(request)
             return
-        fresh = not request.attempts
-        if fresh and request.job_class.late_worth <= 0 and self.random.random() > self.admitted:
+        fresh, earns = not request.attempts, request.job_class.late_worth > 0
+        if fresh and not (earns or self.now >= self.probe_at or self.random.random() <= self.admitted):
             self._give_up(request)
         elif view := self._select(request):
             self._send(request, view)
@@ -361,7 +361,7 @@
 
     def _send(self, request: Request, view: WorkerView) -> None:
         self._cancel(request)
-        request.held, index = False, request.level[0]
+        request.held, index, self.probe_at = False, request.level[0], self.now + PROBE_MS
         run_ms = self.learned.expects(index, request.asked.cost_ms)
         attempt = Attempt(view, self.now, request.asked.slots, request.asked.memory, run_ms)
         if self._ill(view, index):
--- a/tests/test_letting_in.py
+++ b/tests/test_letting_in.py
@@ -39,3 +39,20 @@
     closed = after(late_worth, late)
     assert closed == 0 if late_worth else 150 <= closed < 200, "a few are let in to find out"
     assert after(late_worth, late + soon) == 0
+
+
+def test_however_late_starts_are_one_job_is_let_in_each_second() -> None:
+    """Guards against a door that shuts by chance: nothing would tell any more that the queues have drained."""
+    classes = tuple(replace(c, late_worth=0.0) for c in settings().classes)
+    d = Dispatcher(settings(classes=classes), workers=400)
+    tried_ms: list[float] = []
+    turned_away = 0
+    for _ in range(600):  # 20 ms apart; none of them starts
+        since = len(d.log)
+        d.ask(VIEW)
+        turned_away += any(isinstance(action, api.Refuse) for action in d.log[since:])
+        d.wait(20.0)
+        tried_ms += [d.now] * any(isinstance(action, api.Send) for action in d.log[since:])
+    pauses = [later - former for former, later in zip(tried_ms, tried_ms[1:], strict=False)]
+    assert turned_away > 400, "most are turned away"
+    assert max([*pauses, d.now - tried_ms[-1]]) <= 1040.0
