--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -32,7 +32,7 @@
 AHEAD = 0.5  # of its class's aim a job may wait at a worker: word of a free slot comes too late to fill it
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
-REGAIN, YIELD, LET_IN, PROBE_MS = 1.15, 0.5, 0.05, 1e3  # let in: prompt start, congestion; least, or one in
+REGAIN, YIELD, LET_IN, PROBE_MS = 1.15, 0.5, 0.05, 1e3  # let in: prompt start, moved in vain; least, or one in
 KEEP, FETCH = 4, 16.0  # keys of ours that a worker is taken to keep; a fetch far from home, in running times
 SCAN_MOST, SCAN_HEADS = 6, 3  # a scan: workers that look for their best job, held requests tried of a level
 
@@ -88,7 +88,7 @@
         self.actions: list[api.Action] = []
         self.saved: tuple[WorkerView, Request] | None = None  # a worker that is kept for an aged request
         self.typical_pace, self.typical_errors, self.list_failures = 1.0, dict[int, float](), 0
-        self.scanning, self.begun, self.zones, self.admitted, self.cut_at = False, False, 1, 1.0, 0.0
+        self.scanning, self.begun, self.zones, self.admitted = False, False, 1, 1.0
         self._settle(settings)
         self.rules: dict[str, Callable[[WorkerView, Request, float | None], bool]] = {
             "max_concurrent_invocations": self._concurrency_reached,
@@ -498,9 +498,8 @@
         """Sent, not started: the worker is full for us; a job that may move goes to the next valid worker."""
         # Queues must drain: what late earns nothing is let in by prompt starts, not by jobs moved in vain.
         view, moves = attempt.worker, self._movable(request, True)
-        if self.now >= self.cut_at and (len(request.attempts) > 1 or not moves):
-            # Once in a running time, as TCP in a round trip: all that wait now show one congestion.
-            self.admitted, self.cut_at = max(LET_IN, YIELD * self.admitted), self.now + self.learned.job_ms()
+        vain = len(request.attempts) > 1 or not moves
+        self.admitted = max(LET_IN, self.admitted * (YIELD if vain else 1.0))
         self.learned.start(view.own_zone, self.now - attempt.sent_ms)
         self._strike(view, max(0.0, view.used - 1.0), self.learned.run_ms[request.level[0]] / 2)
         if self._movable(request) and not request.closed:
