Keep on the disk all that a start has found there until something is in force

Contents.store took `Store.beside` alone (mesh/contents.py `_store`; mesh/follower.py and mesh/configuration.py passed no `also`). With N refused and N-1 in force on the disk, and N+1 come after a restart before the disk was applied, N-1 was deleted; with N+1 refused too the next start had nothing. The pure part asked for the right thing, and its model kept it; only the shell did not.

--- a/grebestack/mesh/configuration.py
+++ b/grebestack/mesh/configuration.py
@@ -147,7 +147,7 @@
             self.contents.discard(action.digest)
         elif isinstance(action, Store):
             stored = partial(self._stored, action.version.number)
-            self.contents.store(action.version, action.contents, action.beside, stored)
+            self.contents.store(action.version, action.contents, action.beside, stored, action.also)
         elif isinstance(action, Apply):
             why = self.take(action.version, action.contents)
             self._run(self.voter.taken(self.clock(), action.version.number, why))
--- a/grebestack/mesh/contents.py
+++ b/grebestack/mesh/contents.py
@@ -12,7 +12,7 @@
 import queue
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 import msgspec
@@ -75,9 +75,11 @@
         self.thread.start()
         return Held(tuple(versions), kept, tuple(doubts), life)
 
-    def store(self, version: Version, contents: bytes, beside: int, done: Done) -> None:
-        """Write a version; of others only the one with number `beside` is kept. An older one is not taken."""
-        self.queue.put((lambda: self._store(version, contents, beside), done))
+    def store(
+        self, version: Version, contents: bytes, beside: int, done: Done, also: Collection[int] = (),
+    ) -> None:
+        """Write a version; of others `beside` and those `also` named are kept. An older one is not taken."""
+        self.queue.put((lambda: self._store(version, contents, {beside, *also}), done))
 
     def keep(self, digest: str, contents: bytes, done: Done) -> None:
         """Write contents that are not decided yet."""
@@ -161,7 +163,7 @@
         self.files.rename(new, self._path(name))
         sync_folder(self.files, self.folder)
 
-    def _store(self, version: Version, contents: bytes, beside: int) -> None:
+    def _store(self, version: Version, contents: bytes, others: Collection[int]) -> None:
         names = [n for n in os.listdir(self.folder) if n.startswith(VERSION) and not n.endswith(NEW)]
         numbers = {name: int(name[len(VERSION) :], 16) for name in names}
         if newer := [number for number in numbers.values() if number > version.number]:
@@ -169,7 +171,7 @@
         mine = f"{VERSION}{version.number:016x}"
         self._write(mine, [msgspec.msgpack.encode((self.fleet, version)), contents])
         for name, number in numbers.items():
-            if name != mine and number != beside:
+            if name != mine and number not in others:
                 self._remove(name)
 
     def _remove(self, name: str) -> None:
--- a/grebestack/mesh/follower.py
+++ b/grebestack/mesh/follower.py
@@ -219,4 +219,4 @@
         if self.contents is None:
             done("")
         else:
-            self.contents.store(store.version, store.contents, store.beside, done)
+            self.contents.store(store.version, store.contents, store.beside, done, store.also)
--- a/tests/test_contents.py
+++ b/tests/test_contents.py
@@ -45,8 +45,8 @@
         ask(ended.set_result)
         return str(self.loop.run_until_complete(asyncio.wait_for(ended, 20)))
 
-    def store(self, number: int, beside: int = 0) -> str:
-        return self._wait(lambda done: self.contents.store(V[number], TEXTS[number], beside, done))
+    def store(self, number: int, beside: int = 0, also: tuple[int, ...] = ()) -> str:
+        return self._wait(lambda done: self.contents.store(V[number], TEXTS[number], beside, done, also))
 
     def keep(self, contents: bytes) -> str:
         return self._wait(lambda done: self.contents.keep(digest_of(contents), contents, done))
@@ -70,6 +70,17 @@
     assert dict(found.versions) == {V[1]: TEXTS[1], V[3]: TEXTS[3]} and not found.doubts
 
 
+def test_what_a_start_found_stays_until_something_is_in_force(tmp_path: Path) -> None:
+    disk = Disk(tmp_path)
+    assert [disk.store(1), disk.store(2, 1), disk.store(3, 2, (1,)), disk.store(4, 3, (2, 1))] == [""] * 4
+    disk.close()
+    assert {v.number for v, _ in held(tmp_path).versions} == {1, 2, 3, 4}
+    disk = Disk(tmp_path)
+    assert disk.store(5, 2, (1,)) == ""
+    disk.close()
+    assert dict(held(tmp_path).versions) == {V[n]: TEXTS[n] for n in (1, 2, 5)}
+
+
 def test_an_older_version_never_takes_a_newer_ones_place(tmp_path: Path) -> None:
     disk = Disk(tmp_path)
     disk.store(5)
--- a/tests/test_follower_shell.py
+++ b/tests/test_follower_shell.py
@@ -8,16 +8,20 @@
 import tempfile
 from collections.abc import Callable, Coroutine
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
+from grebestack.fleet.actions import Store
 from grebestack.fleet.feed import MOST, Greeting, Poll, Said, Still, encode
 from grebestack.fleet.relay import Relay
 from grebestack.fleet.versions import MOST_CONTENTS, Version, digest_of
+from grebestack.mesh.configuration import ConfigurationNode
 from grebestack.mesh.feed import FeedLink
 from grebestack.mesh.follower import FollowerNode, FollowerSettings, RelayAddress
 from grebestack.mesh.frames import Traffic
+from grebestack.mesh.node import Node
 from grebestack.mesh.relay import RelayServer
 from grebestack.mesh.telling import monotonic_ms
 from grebestack.program.config import Config, ConfigError, from_file
@@ -208,7 +212,7 @@
     asyncio.run(run())
 
 
-ONE, TWO = contents(5), contents(6)
+ONE, TWO, THREE = contents(5), contents(6), contents(7)
 
 
 def test_a_version_is_pushed_whole_and_the_next_one_by_difference() -> None:
@@ -273,6 +277,52 @@
     play(second)
 
 
+def test_two_refused_versions_do_not_take_the_one_in_force_off_the_disk(tmp_path: Path) -> None:
+    def take(version: Version, data: bytes) -> str:
+        return "mostTries is 6" if version.number > 1 else ""
+
+    async def refused_once(rig: Rig) -> None:
+        relay = await rig.relay()
+        node = rig.follower("f0", take, str(tmp_path))
+        relay.offer(version(1, ONE), ONE)
+        await rig.until(lambda: node.version.number == 1)
+        relay.offer(version(2, TWO), TWO)
+        await rig.until(lambda: node.follower.refused == 2)
+
+    async def newer_before_the_disk_is_applied(rig: Rig) -> None:
+        relay = await rig.relay()
+        relay.offer(version(3, THREE), THREE)
+        node = rig.follower("f0", take, str(tmp_path))
+        await rig.until(lambda: node.version.number == 1)
+        assert node.follower.refused
+
+    async def no_relay(rig: Rig) -> None:
+        await rig.relay()
+        rig.relays["m0"].stop()
+        node = rig.follower("f0", take, str(tmp_path))
+        await rig.until(lambda: node.version == version(1, ONE))
+
+    for script in (refused_once, newer_before_the_disk_is_applied, no_relay):
+        play(script)
+
+
+def test_a_voter_keeps_all_that_its_disk_held_until_something_is_in_force(tmp_path: Path) -> None:
+    async def script(rig: Rig) -> None:
+        settings = SimpleNamespace(name="m0", fleet="farm")
+        node = SimpleNamespace(loop=rig.loop, clock=monotonic_ms, settings=settings, random=random.Random(1))
+        voter = ConfigurationNode(cast(Node, node), str(tmp_path), lambda version, data: "")
+        stored: list[int] = []
+        voter._stored = lambda number, why: stored.append(number)  # type: ignore[method-assign]
+        voter._do(Store(version(1, ONE), ONE, 0))
+        voter._do(Store(version(2, TWO), TWO, 1))
+        voter._do(Store(version(3, THREE), THREE, 2, (1,)))
+        await rig.until(lambda: stored == [1, 2, 3])
+        voter.stop()
+        assert len(list(tmp_path.glob("version-*"))) == 3
+
+    play(script)
+
+
 def test_a_follower_goes_to_another_relay_when_its_own_is_lost_full_or_of_another_fleet() -> None:
     async def script(rig: Rig) -> None:
         await rig.relay("m0", fleet="ranch")
