Stay with a stale relay for a short while first: a start with all relays keeps the bound

Cause: where all relays are unconfirmed, as at a start of all, Follower._judge settled with one of them for 20 to 40 s (waits.SETTLED_MS), though voters that start with it confirm within 2.6 s. Where that relay then hears no majority (cut one way), the follower was behind for as long.

Now the first two stays are 1.35 to 2.7 s (together longer than voters need to connect and beat), then doubled up to 20 to 40 s, from the start again once a relay was good; at the end of a stay the relay is asked at once, not a pace later, and the pauses begin short again. waits.FAULTS has the row, 8.7 s.

A relay that never knew a majority was taken for one that knew it 2^40 ms ago: a relay that follows passed that on as an age ("nothing of a majority for s"). Such an age is none now, and the line says "it has never known a majority"; a relay left because it says less than before is left with these words.

--- a/grebestack/fleet/follower.py
+++ b/grebestack/fleet/follower.py
@@ -59,6 +59,14 @@
     return (*near, *far)
 
 
+def settled_for(former: int) -> tuple[float, float]:
+    """Between which ms a follower stays with a stale relay, after so many times in a row."""
+    factor = 2.0 ** max(0, former + 1 - waits.SETTLED_ALIKE)
+    least, most = waits.SETTLED_MS
+    top_least, top_most = waits.SETTLED_MOST_MS
+    return min(least * factor, top_least), min(most * factor, top_most)
+
+
 class Follower:
     """Events in, actions out. One link at a time, numbered by `Dial`; a former link's events are passed over.
 
@@ -91,6 +99,7 @@
         self.tried: frozenset[str] = frozenset()  # since a relay was good
         self.again_round = False  # all have been tried once and none was good
         self.settled_ms = 0.0  # until when a stale relay is borne
+        self.settlings = 0  # in a row
         self.home_ms = inf
         self.newer = 0  # the relay has it and it has not come
         self.told: dict[str, int] = {}  # of each relay the highest number that it has told
@@ -207,14 +216,17 @@
             field, value = ("number", number) if number < 0 else ("confirmed_ms", confirmed_ms)
             return self._spoilt(now_ms, wrong(field, value, "0 and more"))
         self.deadline_ms = inf
+        confirmed_ms = min(confirmed_ms, NEVER_MS)
         if number < (former := self.told.get(self.relay, 0)):
             self.poll_ms = now_ms + self._pace()
             why = wrong("number", number, f"{former} and more, as it said before")
-            return [*self._note(f"less/{self.relay}", why), *self._judge(now_ms, NEVER_MS)]
+            noted = self._note(f"less/{self.relay}", why)
+            return [*noted, *self._judge(now_ms, NEVER_MS, "it says less than before")]
         self.told[self.relay] = number
         self.newer = number if number > max(self._top(), self.refused) else 0
         at_ms = now_ms - confirmed_ms
-        if number >= self.version.number and (self.confirmed_ms is None or at_ms > self.confirmed_ms):
+        known = confirmed_ms < NEVER_MS and number >= self.version.number
+        if known and (self.confirmed_ms is None or at_ms > self.confirmed_ms):
             self.confirmed_ms = at_ms
             if self.relays and not self.newer:
                 actions.append(Confirmed(self.confirmed_ms))
@@ -223,22 +235,27 @@
             actions += self._from_disk()
         return actions + self._judge(now_ms, confirmed_ms)
 
-    def _judge(self, now_ms: float, confirmed_ms: int) -> list[FollowerAction]:
-        """Whether the relay is good enough to stay with."""
+    def _judge(self, now_ms: float, confirmed_ms: int, why: str = "") -> list[FollowerAction]:
+        """Whether the relay is good enough to stay with; `why` it is not, if that is another reason."""
         if confirmed_ms <= waits.STALE_MS:
             self.tried, self.tries, self.settled_ms, self.again_round = frozenset(), 0, 0.0, False
+            self.settlings = 0
             return []
         if now_ms < self.settled_ms:
+            self.poll_ms = min(self.poll_ms, self.settled_ms)
             return []
         if self.settled_ms:  # it has been borne for long: another look round
-            self.tried, self.settled_ms, self.again_round = frozenset(), 0.0, False
+            self.tried, self.tries, self.settled_ms, self.again_round = frozenset(), 0, 0.0, False
         if self.tried | {self.relay} >= set(self.order) and not self.again_round:
             self.tried, self.again_round = frozenset(), True  # one that failed may have been well
         if self.tried | {self.relay} >= set(self.order):
-            self.settled_ms = now_ms + self.random.uniform(*waits.SETTLED_MS)
+            self.settled_ms = now_ms + self.random.uniform(*settled_for(self.settlings))
+            self.settlings = min(self.settlings + 1, 10)
+            self.poll_ms = min(self.poll_ms, self.settled_ms)
             return []
-        for_s = "long" if confirmed_ms >= NEVER_MS else f"{confirmed_ms / 1000.0:.0f} s"
-        return self._leave(now_ms, f"it has known nothing of a majority for {for_s}")
+        never = "it has never known a majority"
+        long = f"it has known nothing of a majority for {confirmed_ms / 1000.0:.0f} s"
+        return self._leave(now_ms, why or (never if confirmed_ms >= NEVER_MS else long))
 
     def _news(self, now_ms: float, news: News) -> list[FollowerAction]:
         version = news.version
--- a/grebestack/fleet/waits.py
+++ b/grebestack/fleet/waits.py
@@ -17,7 +17,9 @@
 PAUSE_MS = (0.0, 300.0)  # before another relay is dialled, doubled with each failure in a row
 PAUSE_MOST_MS = 1000.0
 STALE_MS = 3500.0  # a relay that has known nothing of a majority for so long is left for another
-SETTLED_MS = (20_000.0, 40_000.0)  # where all are stale it stays, then looks round again
+SETTLED_MS = (1350.0, 2700.0)  # where all are stale it stays with one, then looks round again
+SETTLED_ALIKE = 2  # so often for as long, then doubled each time: voters that start with it are heard by then
+SETTLED_MOST_MS = (20_000.0, 40_000.0)
 HOME_MS = (60_000.0, 180_000.0)  # away from its first relay for so long it tries that one again
 START_MS = 2000.0  # what is on the disk waits for a relay's word for so long
 
@@ -74,6 +76,10 @@
         ("welcome of another", GREET_MS), ("its contents, in their turn", WHOLE_MS),
         ("stored and applied", STORE_MS),
     ),
+    "start with all relays, one of which then hears no majority": (
+        ("beat of the others", BEAT_MS[1]), ("it has settled", SETTLED_MS[1]), ("answer", ANSWER_MS),
+        *_GOES_OVER,
+    ),
     "stopped and gone on": (("it stood still", LATE_MS), *_GOES_OVER),
     "regions met again": (
         ("voters are connected", MESH_MS), ("beat", BEAT_MS[1]), ("contents are fetched", FETCH_MS),
--- a/tests/configuration_model.py
+++ b/tests/configuration_model.py
@@ -572,6 +572,7 @@
     "one-way cut from the relay", "one-way cut between voters", "a voter hears no other",
     "no other hears a voter", "a follower stopped and gone on", "a relay stopped and gone on",
     "regions cut and met again", "a follower cut from all", "old disk", "a relay process restarts",
+    COLD := "start with all relays, one of which then hears no majority",
 )
 SERVERS = (*VOTERS, *RELAY)
 
@@ -602,11 +603,16 @@
     """A fleet that has run for a while, then one fault and changes round it, until all bounds have passed."""
     random = Random(f"{seed}/{fault}")
     world = World(random.getrandbits(32), **kinds)
+    if fault == COLD:  # voters are not connected yet
+        world.mesh_down = {frozenset((a, b)) for a in VOTERS for b in VOTERS if a != b}
+        for name in VOTERS:
+            world.at(random.uniform(50.0, MESH_AGAIN_MS), partial(world.mesh_back, name))
     world.begin()
-    world.run(3000.0)
-    world.propose(1, "v1", contents_of(random, b""))
-    world.run(6000.0)
-    at = random.uniform(6000.0, 12_000.0)
+    if fault != COLD:
+        world.run(3000.0)
+        world.propose(1, "v1", contents_of(random, b""))
+        world.run(6000.0)
+    at = random.uniform(200.0, 3000.0) if fault == COLD else random.uniform(6000.0, 12_000.0)
     long = random.choice([random.uniform(300.0, 5000.0), random.uniform(5000.0, 70_000.0)])
     server, follower = random.choice(SERVERS), random.choice(sorted(FOLLOWERS))
     voter = random.choice(sorted(VOTERS))
@@ -678,6 +684,13 @@
         far = set(world.processes) - near
         sever({way for a in near for b in far for way in ((a, b), (b, a))}, True)
         cuts = {name: ((at, at + long),) for name in far}
+    elif fault == COLD:
+        if relay is not None and random.random() < 0.7:
+            server = relay.order[-1]  # where it may have settled
+        sever({(v, server) for v in VOTERS if v != server}, False)
+        sound = random.choice(sorted(set(VOTERS) - {server}))
+        world.at(random.uniform(2600.0, 3500.0), partial(ask, 1, sound, contents_of(random, b"")))
+        cuts = {server: ((at, 1e12),)}
     elif fault == "old disk":
         def snap() -> None:
             saved.update(world.processes[follower].disk)
@@ -697,7 +710,7 @@
         former = contents_of(random, former)
         close = random.random() < 0.5  # near the fault, or anywhere
         when = at + random.uniform(-400.0, 3000.0) if close else random.uniform(6000.0, end - 10_500.0)
-        world.at(when - world.now, partial(ask, ticket, random.choice(sorted(VOTERS)), former))
+        world.at(max(0.0, when - world.now), partial(ask, ticket, random.choice(sorted(VOTERS)), former))
     world.run(end)
     names = [*FOLLOWERS, *RELAY]
     return Play(world, [Owed(name, cuts.get(name, ())) for name in names], fault, text)
--- a/tests/configuration_states.py
+++ b/tests/configuration_states.py
@@ -65,8 +65,8 @@
             self.poll_ms = float("inf")
         return actions
 
-    def _judge(self, now_ms: float, confirmed_ms: int) -> list[act.FollowerAction]:
-        return [] if self.variant == "stays with a stale relay" else super()._judge(now_ms, confirmed_ms)
+    def _judge(self, now_ms: float, confirmed_ms: int, why: str = "") -> list[act.FollowerAction]:
+        return [] if self.variant == "stays with a stale relay" else super()._judge(now_ms, confirmed_ms, why)
 
     def _poll(self, now_ms: float) -> list[act.FollowerAction]:
         actions = super()._poll(now_ms)
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -20,6 +20,7 @@
 from grebestack.fleet.relay import Relay
 from grebestack.fleet.versions import Version
 from tests.configuration_model import (
+    COLD,
     FAULTS,
     FOLLOWERS,
     PLACES,
@@ -51,6 +52,22 @@
         assert not [t for _, _, t in played.world.told if t.event == "configuration_wrong"]
 
 
+def test_a_start_with_all_relays_and_a_cut_one_from_twelve_seeds() -> None:
+    for seed in range(12):
+        played = play(seed, COLD)
+        print(played.text)
+        assert played.wrong() == []
+
+
+def test_a_first_settling_that_is_long_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(waits, "SETTLED_MS", waits.SETTLED_MOST_MS)
+    assert [text for seed in range(12) for text in play(seed, COLD).wrong() if text.startswith("f")]
+
+
+def test_who_has_settled_twice_looks_round_once_voters_that_start_with_it_are_heard() -> None:
+    assert waits.SETTLED_MS[0] * waits.SETTLED_ALIKE >= waits.MESH_MS + waits.BEAT_MS[1]
+
+
 def test_the_same_seed_plays_the_same() -> None:
     one, two = play(5, "relay killed"), play(5, "relay killed")
     assert one.world.acts == two.world.acts and one.world.acts
@@ -214,7 +231,7 @@
 class Loyal(Follower):
     """It never leaves a relay that hears no majority."""
 
-    def _judge(self, now_ms: float, confirmed_ms: int) -> list[act.FollowerAction]:
+    def _judge(self, now_ms: float, confirmed_ms: int, why: str = "") -> list[act.FollowerAction]:
         return []
 
 
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -39,7 +39,7 @@
     Tally,
     Welcome,
 )
-from grebestack.fleet.follower import Follower, ordered
+from grebestack.fleet.follower import Follower, ordered, settled_for
 from grebestack.fleet.relay import MOST_FOLLOWERS, Relay
 from grebestack.fleet.versions import (
     MOST_CONTENTS,
@@ -270,6 +270,41 @@
     assert fed.hear(Still(0, 100)) == [] and fed.follower.settled_ms == 0.0
 
 
+def test_stays_with_a_stale_relay_are_short_at_first_and_doubled_until_a_good_one_is_found() -> None:
+    assert [settled_for(n) for n in (0, 1, 2, 3)] == [
+        (1350.0, 2700.0), (1350.0, 2700.0), (2700.0, 5400.0), (5400.0, 10_800.0)]
+    assert settled_for(6) == settled_for(99) == waits.SETTLED_MOST_MS
+    fed, stays = Fed(), list[float]()
+    for _ in range(200):
+        if kinds(fed.hear(Still(0, NEVER_MS))):
+            fed.link()
+            fed.hear(Welcome(FORM, "f", fed.follower.relay, 10))
+            continue
+        stays.append(fed.follower.settled_ms - fed.now)
+        while fed.now < fed.follower.settled_ms:  # it asks again at the end of it, not a pace later
+            assert fed.follower.due_ms(fed.now) <= fed.follower.settled_ms
+            fed.now = fed.follower.due_ms(fed.now)
+            fed.follower.tick(fed.now)
+            if fed.now < fed.follower.settled_ms:
+                assert kinds(fed.hear(Still(0, NEVER_MS))) == []
+    assert len(stays) > 7
+    for n, stay in enumerate(stays):
+        assert settled_for(n)[0] <= stay <= settled_for(n)[1]
+    assert fed.follower.settlings
+    fed.hear(Still(0, 0))
+    assert not fed.follower.settlings and not fed.follower.settled_ms
+
+
+@pytest.mark.parametrize("age_ms", [NEVER_MS, NEVER_MS + 5000])
+def test_a_relay_that_never_knew_a_majority_is_left_with_these_words_and_nothing_is_made_of_it(
+    age_ms: int
+) -> None:
+    fed = Fed(relays=True)
+    actions = fed.hear(Still(0, age_ms))
+    assert [a.why for a in actions if isinstance(a, Close)] == ["it has never known a majority"]
+    assert "Confirmed" not in kinds(actions) and "no majority known" in fed.follower.shown(fed.now)
+
+
 def test_an_event_of_a_former_link_is_passed_over() -> None:
     fed = Fed()
     old = fed.follower.link
