Read the register before a voter that has just started proposes a number

ConfigurationVoter.propose took the number after the one on its own disk, also before it had heard of any majority since its start. Where others had decided more meanwhile, the operator was told "m0 won with number 2", though nobody asked at that time (`_settle`, by the first beat or by the register's answer).

Now such a voter reads the register at once (Decide(None), while the contents go out); what it learns until then moves the proposal's number up and doesn't end it; the register is asked to change only after. From then on, or once a majority has confirmed it, a race is lost as before. If the register can't be read the answer says so. A register read as empty goes on with the proposal too.

The other explored starts begin with voters that know the number in force, so they are as they were.

--- a/grebestack/fleet/configuration.py
+++ b/grebestack/fleet/configuration.py
@@ -183,6 +183,7 @@
         self.deciding = False
         self.view = View(-1, 0, frozenset(), 1, frozenset())  # as it came last
         self.read_ms = inf
+        self.current = False  # since the start it has known from a majority which number is in force
         self.beat_ms, self.beats = now_ms, 0
         self.sent: dict[int, float] = {}
         self.others: dict[str, Heard] = {}
@@ -316,7 +317,8 @@
         elif digest not in self.keeping:
             self.keeping[digest] = contents, frozenset()
             keep.append(Keep(digest, contents))
-        return [*keep, *self._propose(now_ms, view)]
+        read = [] if self.current or self.deciding else self._read(now_ms)
+        return [*keep, *read, *self._propose(now_ms, view)]
 
     def _propose(self, now_ms: float, view: View) -> list[ConfigurationAction]:
         """The next step of the proposal: contents to a majority, then the register."""
@@ -325,11 +327,17 @@
             return []
         if now_ms >= proposal.until_ms:
             held = ", ".join(sorted(proposal.holders)) or "nobody"
+            if not proposal.asked and not self.current:
+                why = "the register can't be read: no majority of the voters has answered"
+                return self._end(False, f"{why}; held by {held}")
             if not proposal.asked:
                 return self._end(False, f"its contents are held by {held}; needed: {view.majority} voters")
             return self._end(False, "not known whether it is in force")
         enough = len(proposal.holders & view.names) >= view.majority
         if enough and self.name in proposal.holders:
+            if not self.current:  # its number is still to be found
+                self.proposal = replace(proposal, again_ms=self.read_ms)
+                return []
             if self.deciding or (proposal.asked and now_ms < proposal.again_ms):
                 return []
             self.deciding = True
@@ -358,10 +366,12 @@
             return self._propose(now_ms, view)
         self.read_ms = inf
         if not isinstance(value, Version):
-            return []
+            self.current = True
+            return self._propose(now_ms, view)
         newer = value.number > self.decided.number
         actions = self._learn(now_ms, value, self.name)
         actions += self._settle(value)
+        self.current = True
         if newer:
             actions += self._beat(now_ms, view)
         return actions + self._propose(now_ms, view)
@@ -371,6 +381,10 @@
         proposal = self.proposal
         if proposal is None or decided.number < proposal.version.number:
             return []
+        if not self.current:  # that was decided before, as far as is known: this one comes after it
+            version = msgspec.structs.replace(proposal.version, number=decided.number + 1)
+            self.proposal = replace(proposal, version=version)
+            return []
         if decided == proposal.version:
             return self._end(True, "")
         won = f"{decided.by or 'another voter'} won with number {decided.number}"
@@ -378,6 +392,11 @@
             won += "; whether this one was in force before is not known"
         return self._end(False, won)
 
+    def _read(self, now_ms: float) -> list[ConfigurationAction]:
+        """Ask the register what is in force; again where that is not heard to its end."""
+        self.deciding, self.read_ms = True, now_ms + waits.ASK_MS
+        return [Decide(None)]
+
     def _read_pause(self) -> float:
         return self.random.uniform(*waits.READ_MS)
 
@@ -503,7 +522,7 @@
         at_ms = times[view.majority - 1]
         if self.confirmed_ms is not None and at_ms <= self.confirmed_ms:
             return []
-        self.confirmed_ms = at_ms
+        self.confirmed_ms, self.current = at_ms, True
         first = self._begin() if self.start_ms < inf else []  # what the disk holds is the newest
         return [Confirmed(at_ms), *first]
 
@@ -643,8 +662,7 @@
             actions += self._confirm(now_ms, view)
         actions += self._propose(now_ms, view)
         if now_ms >= self.read_ms and not self.deciding:
-            self.deciding, self.read_ms = True, now_ms + waits.ASK_MS
-            actions.append(Decide(None))
+            actions += self._read(now_ms)
         if now_ms >= self.fetch_ms:
             actions += self._fetch(now_ms, view)
         if now_ms >= self.start_ms:
--- a/tests/configuration_voters.py
+++ b/tests/configuration_voters.py
@@ -105,6 +105,8 @@
     "one change": Budget((1, 0, 0), steps=0),
     "one change, one beat": Budget((1, 0, 0), steps=1, unheard=0),
     "race": Budget(),
+    "race, just started": Budget(),
+    "one change, just started": Budget((1, 0, 0), steps=0),
     "race, three steps": Budget(steps=3),
     "crash": Budget((1, 0, 0), steps=2, crash=1),
     "crash in a race": Budget(steps=2, crash=1),
@@ -129,7 +131,10 @@
 
     def first(self) -> World:
         """Nothing is decided."""
-        voters = tuple(Part(self._voter(i, 1, 0.0)) for i in range(3))
+        made = [self._voter(i, 1, 0.0) for i in range(3)]
+        for one in made:  # else each reads the register before it asks for anything
+            one.current = "just started" not in self.start
+        voters = tuple(Part(one) for one in made)
         empty: frozenset[bytes] = frozenset()
         world = World(
             voters, (1, 1, 1), (empty,) * 3, ((),) * 3, (Slot(),) * 3, (None,) * 3, frozenset(), 0,
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -111,6 +111,26 @@
     assert both >= 8
 
 
+def test_one_asked_as_it_starts_on_an_old_disk_goes_on_from_the_number_in_force() -> None:
+    for seed in range(12):
+        world = World(seed)
+        world.begin()
+        world.run(3000.0)
+        world.propose(1, "v1", b"one")
+        world.run(6000.0)
+        world.kill("v1")
+        world.propose(2, "v2", b"two")
+        world.run(9000.0)
+        assert world.outcomes[2].won
+        world.start("v1")
+        world.mesh_back("v1")
+        world.propose(3, "v1", b"three")
+        world.run(20_000.0)
+        outcome = world.outcomes[3]
+        assert outcome.won and outcome.version.number == 3, outcome.why
+        assert wrong(world.chosen, world.acts, [Owed(f) for f in FOLLOWERS], world.now) == []
+
+
 def test_a_region_without_a_majority_serves_on_and_says_for_how_long() -> None:
     world = World(4)
     world.begin()
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -463,10 +463,17 @@
 VIEW = View(0, 1, frozenset(("v1", "v2", "v3")), 2, frozenset(("v2", "v3")))
 
 
-def voter() -> ConfigurationVoter:
+def started() -> ConfigurationVoter:
     return ConfigurationVoter("v1", "f", 1, random.Random(1), 0.0)
 
 
+def voter() -> ConfigurationVoter:
+    """One that has read the register since its start."""
+    made = started()
+    assert made.registered(0.0, True, None, VIEW) == []
+    return made
+
+
 def body(word: Any) -> bytes:
     (tell,) = (a for a in [voter()._say("x", word)])
     return tell.body
@@ -487,6 +494,56 @@
     assert kinds(list(made.stored(10.0, 1))) == ["Discard", "Apply"]
 
 
+def outcomes(actions: list[Any]) -> list[Outcome]:
+    return [a for a in actions if isinstance(a, Outcome)]
+
+
+def test_one_that_has_just_started_reads_the_register_and_proposes_the_number_after_what_it_finds() -> None:
+    made = started()
+    made.start(0.0, [(version(1), contents(1))], {})
+    actions = list(made.propose(0.0, 7, contents(9), 99, VIEW))
+    assert [a for a in actions if isinstance(a, Decide)] == [Decide(None)]
+    digest = digest_of(contents(9))
+    made.kept(5.0, digest)
+    assert made.heard(6.0, "v2", body(Kept(digest)), VIEW) == []  # a majority holds it, under no number yet
+    actions = list(made.registered(9.0, True, version(4), VIEW))
+    want = Version(5, digest, len(contents(9)), "v1", 99)
+    assert [a for a in actions if isinstance(a, Decide)] == [Decide(want)] and not outcomes(actions)
+    (ended,) = outcomes(list(made.registered(12.0, True, want, VIEW)))
+    assert ended.won and ended.version == want
+
+
+def test_what_one_that_has_just_started_hears_of_others_does_not_end_its_proposal() -> None:
+    made = started()
+    made.propose(0.0, 7, contents(9), 99, VIEW)
+    made.kept(5.0, digest_of(contents(9)))
+    made.heard(6.0, "v2", body(Kept(digest_of(contents(9)))), VIEW)
+    assert not outcomes(list(made.heard(7.0, "v2", body(Beat(1, 1, 3, version(3))), VIEW)))
+    assert made.proposal is not None and made.proposal.version.number == 4
+    actions = list(made.registered(9.0, True, version(3), VIEW))
+    assert [a.version.number for a in actions if isinstance(a, Decide) and a.version] == [4]
+    (lost,) = outcomes(list(made.heard(10.0, "v2", body(Beat(2, 1, 4, version(4))), VIEW)))
+    assert lost.why == "v1 won with number 4" and not lost.won  # from now on it is a race as any other
+
+
+def test_one_that_has_just_started_and_can_not_read_the_register_says_so_and_asks_at_a_slow_pace() -> None:
+    made, now, asked = started(), 0.0, 0
+    found = list(made.propose(0.0, 7, b"one", 99, VIEW))
+    made.kept(1.0, digest_of(b"one"))
+    made.heard(2.0, "v2", body(Kept(digest_of(b"one"))), VIEW)
+    while made.proposal is not None and now < 2 * waits.PROPOSE_MS:
+        if made.deciding:
+            asked += 1
+            now += waits.ASK_MS
+            found += made.registered(now, False, None, VIEW)
+        now = made.due_ms(now)
+        found += made.tick(now, VIEW)
+    assert [o.why for o in outcomes(found)] == [
+        "the register can't be read: no majority of the voters has answered; held by v1, v2"]
+    assert all(a.version is None for a in found if isinstance(a, Decide))
+    assert 4 <= asked <= waits.PROPOSE_MS / waits.ASK_MS + 1
+
+
 def test_the_change_of_the_register_is_compare_and_set() -> None:
     assert change(version(1))(None) == version(1) and change(version(2))(version(1)) == version(2)
     other = version(1, b"other")
--- a/tests/test_configuration_states.py
+++ b/tests/test_configuration_states.py
@@ -46,7 +46,12 @@
     assert found.states >= 5_000
 
 
-@pytest.mark.parametrize("start", ["race", "crash", "held, beats"])
+def test_one_change_at_a_voter_that_has_just_started_is_decided_once_in_the_nearest_states() -> None:
+    found = voters.explore(voters.Model("", "one change, just started"), 10_000)
+    assert (found.wrong, found.trace) == ("", ())
+
+
+@pytest.mark.parametrize("start", ["race", "race, just started", "crash", "held, beats"])
 def test_nothing_is_offered_or_confirmed_against_a_majority_in_the_nearest_states(start: str) -> None:
     found = voters.explore(voters.Model("", start), 4_000)
     assert (found.wrong, found.trace, found.states) == ("", (), 4_000)
