--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -20,6 +20,7 @@
 from grebestack.fleet.relay import Relay
 from grebestack.fleet.versions import Version
 from tests.configuration_model import (
+    COLD,
     FAULTS,
     FOLLOWERS,
     PLACES,
@@ -51,6 +52,22 @@
         assert not [t for _, _, t in played.world.told if t.event == "configuration_wrong"]
 
 
+def test_a_start_with_all_relays_and_a_cut_one_from_twelve_seeds() -> None:
+    for seed in range(12):
+        played = play(seed, COLD)
+        print(played.text)
+        assert played.wrong() == []
+
+
+def test_a_first_settling_that_is_long_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(waits, "SETTLED_MS", waits.SETTLED_MOST_MS)
+    assert [text for seed in range(12) for text in play(seed, COLD).wrong() if text.startswith("f")]
+
+
+def test_who_has_settled_twice_looks_round_once_voters_that_start_with_it_are_heard() -> None:
+    assert waits.SETTLED_MS[0] * waits.SETTLED_ALIKE >= waits.MESH_MS + waits.BEAT_MS[1]
+
+
 def test_the_same_seed_plays_the_same() -> None:
     one, two = play(5, "relay killed"), play(5, "relay killed")
     assert one.world.acts == two.world.acts and one.world.acts
@@ -94,6 +111,26 @@
     assert both >= 8
 
 
+def test_one_asked_as_it_starts_on_an_old_disk_goes_on_from_the_number_in_force() -> None:
+    for seed in range(12):
+        world = World(seed)
+        world.begin()
+        world.run(3000.0)
+        world.propose(1, "v1", b"one")
+        world.run(6000.0)
+        world.kill("v1")
+        world.propose(2, "v2", b"two")
+        world.run(9000.0)
+        assert world.outcomes[2].won
+        world.start("v1")
+        world.mesh_back("v1")
+        world.propose(3, "v1", b"three")
+        world.run(20_000.0)
+        outcome = world.outcomes[3]
+        assert outcome.won and outcome.version.number == 3, outcome.why
+        assert wrong(world.chosen, world.acts, [Owed(f) for f in FOLLOWERS], world.now) == []
+
+
 def test_a_region_without_a_majority_serves_on_and_says_for_how_long() -> None:
     world = World(4)
     world.begin()
@@ -214,7 +251,7 @@
 class Loyal(Follower):
     """It never leaves a relay that hears no majority."""
 
-    def _judge(self, now_ms: float, confirmed_ms: int) -> list[act.FollowerAction]:
+    def _judge(self, now_ms: float, confirmed_ms: int, why: str = "") -> list[act.FollowerAction]:
         return []
 
 
