Draw as before what is let in, and have the test of a lost voter wait for the proposal under way

It now asks until that is over; every answer must be a failure as before, and the last one must say that no majority is there.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -32,7 +32,7 @@
 AHEAD = 0.5  # of its class's aim a job may wait at a worker: word of a free slot comes too late to fill it
 FAILING = 0.1  # a class fails at a worker whose share is above this and one and a half times the typical
 LOOK = 64  # held requests of a level among which a slot looks for the one that it earns most with
-REGAIN, YIELD, LET_IN, PROBE_MS = 1.15, 0.5, 0.05, 1e3  # let in: prompt start, moved in vain; least, or one in
+REGAIN, YIELD, LET_IN, PROBE_MS = 1.15, 0.5, 0.05, 1e3  # let in: prompt start, moved in vain; least, or one
 KEEP, FETCH = 4, 16.0  # keys of ours that a worker is taken to keep; a fetch far from home, in running times
 SCAN_MOST, SCAN_HEADS = 6, 3  # a scan: workers that look for their best job, held requests tried of a level
 
@@ -350,7 +350,7 @@
                 self._give_up(request)
             return
         fresh, earns = not request.attempts, request.job_class.late_worth > 0
-        if fresh and not (earns or self.now >= self.probe_at or self.random.random() <= self.admitted):
+        if fresh and not (earns or self.random.random() <= self.admitted or self.now >= self.probe_at):
             self._give_up(request)
         elif view := self._select(request):
             self._send(request, view)
--- a/tests/test_follower_cluster.py
+++ b/tests/test_follower_cluster.py
@@ -135,7 +135,15 @@
         cluster.everywhere(number, rest(cluster, "m2"))
         cluster.kill("m1")
         began = monotonic_ms()
-        answers = [cluster.ask("m0", contents(limit)) for limit in (8, 9)]
+        answers = [cluster.ask("m0", contents(8))]  # asked before it is noticed, or after
+        for _ in range(60):  # the first may be under way for a while, which is told
+            answers.append(cluster.ask("m0", contents(9)))
+            assert answers[-1].startswith("FAILURE"), answers
+            if "another change is under way at m0" not in answers[-1]:
+                break
+            del answers[-1]
+            time.sleep(0.2)
+        assert len(answers) == 2, answers
         assert all(answer.startswith("FAILURE") for answer in answers), answers
         assert all(re.search("needed: 2|no majority", answer) for answer in answers), answers
         time.sleep(3.0)
--- a/tests/test_letting_in.py
+++ b/tests/test_letting_in.py
@@ -42,7 +42,7 @@
 
 
 def test_however_late_starts_are_one_job_is_let_in_each_second() -> None:
-    """Guards against a door that shuts by chance: nothing would tell any more that the queues have drained."""
+    """Guards against a door that is shut by chance: nothing would tell that the queues have drained."""
     classes = tuple(replace(c, late_worth=0.0) for c in settings().classes)
     d = Dispatcher(settings(classes=classes), workers=400)
     tried_ms: list[float] = []
