--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -522,7 +522,40 @@
     return f"{text}\n\n{table([head, 'measured'], rows)}"
 
 
+TOLD = {
+    "real": "follower", "relay": "relay", "voter": "voter",
+    "cpu_share_idle": "idle, of a core", "cpu_share_changes": "20 x the day's changes, of a core",
+    "bytes_s_idle": "idle, bytes/s", "bytes_s_changes": "20 x the day's changes, bytes/s",
+    "bytes_per_change": "a change, bytes", "messages_per_change": "a change, messages",
+    "memory_mb": "memory, MB",
+}
+
+
+def foretold(figures: Figures) -> str:
+    """What the sizes up to 230 foretell of 560, against the run; and what followed each fault of the run at 230."""
+    run = figures.runs.get("scale", {})
+    known, faults = run.get("foretold_560"), run.get("faults")
+    if not known or not faults:
+        return NOT_YET
+    rows = [
+        [
+            f"{TOLD[role]}: {TOLD[name]}", number(one["foretold"]), number(one["measured"]),
+            f"{one['error']:+.0%}",
+        ]
+        for role in ("real", "relay", "voter") for name, one in known[role].items() if name in TOLD
+    ]
+    healed = [
+        [one["fault"], str(one["hit"]), number(one["for_s"]), number(one["all_in_force_after_s"])]
+        for one in faults
+    ]
+    return "\n\n".join([
+        table([f"at {known['size']} followers", "foretold", "measured", "error, of the measured"], rows),
+        table(["fault, in the run at 230", "hit", "for, s", "all in force after, s"], healed),
+    ])
+
+
 BLOCKS: dict[str, Callable[[Figures], str]] = {
+    "foretold": foretold,
     "first": first,
     "changes": changes,
     "limits": limits,
