--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -532,7 +532,7 @@
 
 
 def foretold(figures: Figures) -> str:
-    """What the sizes up to 230 foretell of 560, against the run; and what followed each fault of the run at 230."""
+    """What sizes up to 230 foretell of 560, against the run; and what followed each fault at 230."""
     run = figures.runs.get("scale", {})
     known, faults = run.get("foretold_560"), run.get("faults")
     if not known or not faults:
