Run the actions of follower, relay and voter by one loop with one timer

mesh/follower.py, configuration.py and relay.py each had their own loop over actions and their own timer; the relay's had no order for what an action leads to. mesh/turns.py has it once. No test changed; the shells' tests, 108 with real processes among them, pass.

--- a/grebestack/mesh/configuration.py
+++ b/grebestack/mesh/configuration.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import time
-from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from grebestack.fleet.actions import (
@@ -30,6 +28,7 @@
 from grebestack.mesh.node import Node
 from grebestack.mesh.store import Files
 from grebestack.mesh.telling import tell
+from grebestack.mesh.turns import Turns
 
 log = logging.getLogger(__name__)
 TASK = "configuration"  # what voters say to each other goes under this
@@ -56,9 +55,9 @@
         self.tickets = 0
         self.asked: dict[int, Callable[[Outcome], None]] = {}  # by ticket
         self.counted = dict.fromkeys(("messages_in", "messages_out", "bytes_in", "bytes_out"), 0)
-        self.timer: asyncio.TimerHandle | None = None
-        self.actions: deque[ConfigurationAction] = deque()
-        self.running = self.stopped = False
+        self.turns: Turns[ConfigurationAction] = Turns(
+            self.loop, self.clock, self.voter, self._do, lambda: self.voter.tick(self.clock(), self._view())
+        )
 
     @property
     def version(self) -> Version:
@@ -77,13 +76,11 @@
     def start(self) -> None:
         """Begin."""
         self.node.words[TASK] = self._word
-        self._run(self.voter.start(self.clock(), list(self.held.versions), self.held.kept))
+        self.turns.run(self.voter.start(self.clock(), list(self.held.versions), self.held.kept))
 
     def stop(self) -> None:
         """End."""
-        self.stopped = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self.turns.stop()
         self.contents.close()
 
     def propose(self, contents: bytes, ended: Callable[[Outcome], None]) -> None:
@@ -91,12 +88,12 @@
         self.tickets += 1
         self.asked[self.tickets] = ended
         since_ms = time.time_ns() // 1_000_000
-        self._run(self.voter.propose(self.clock(), self.tickets, contents, since_ms, self._view()))
+        self.turns.run(self.voter.propose(self.clock(), self.tickets, contents, since_ms, self._view()))
 
     def tallied(self, tally: Tally) -> None:
         """The word of a relay on its followers."""
-        if not self.stopped:
-            self._run(self.voter.tallied(self.clock(), tally, self._view()))
+        if not self.turns.stopped:
+            self.turns.run(self.voter.tallied(self.clock(), tally, self._view()))
 
     def _view(self) -> View:
         """This voter's disk and set, at this moment."""
@@ -112,29 +109,8 @@
     def _word(self, name: str, body: bytes) -> None:
         self.counted["messages_in"] += 1
         self.counted["bytes_in"] += len(body)
-        if not self.stopped:
-            self._run(self.voter.heard(self.clock(), name, body, self._view()))
-
-    def _tick(self) -> None:
-        self.timer = None
-        self._run(self.voter.tick(self.clock(), self._view()))
-
-    def _run(self, actions: Iterable[ConfigurationAction]) -> None:
-        self.actions.extend(actions)
-        if self.running:  # what is done calls back: it is done after what was asked for before
-            return
-        self.running = True
-        try:
-            while self.actions and not self.stopped:
-                self._do(self.actions.popleft())
-        finally:
-            self.running = False
-        if self.stopped:
-            return
-        if self.timer is not None:
-            self.timer.cancel()
-        now = self.clock()
-        self.timer = self.loop.call_later(max(0.0, self.voter.due_ms(now) - now) / 1000.0, self._tick)
+        if not self.turns.stopped:
+            self.turns.run(self.voter.heard(self.clock(), name, body, self._view()))
 
     def _do(self, action: ConfigurationAction) -> None:
         if isinstance(action, Tell):
@@ -150,7 +126,7 @@
             self.contents.store(action.version, action.contents, action.beside, stored, action.also)
         elif isinstance(action, Apply):
             why = self.take(action.version, action.contents)
-            self._run(self.voter.taken(self.clock(), action.version.number, why))
+            self.turns.run(self.voter.taken(self.clock(), action.version.number, why))
             self.settled()
         elif isinstance(action, Offer):
             if self.relay is not None:
@@ -168,13 +144,13 @@
             tell(action)
 
     def _kept(self, digest: str, why: str) -> None:
-        if not self.stopped:
-            self._run(self.voter.kept(self.clock(), digest, why))
+        if not self.turns.stopped:
+            self.turns.run(self.voter.kept(self.clock(), digest, why))
 
     def _stored(self, number: int, why: str) -> None:
-        if not self.stopped:
-            self._run(self.voter.stored(self.clock(), number, why))
+        if not self.turns.stopped:
+            self.turns.run(self.voter.stored(self.clock(), number, why))
 
     def _registered(self, known: bool, value: Value) -> None:
-        if not self.stopped:
-            self._run(self.voter.registered(self.clock(), known, value, self._view()))
+        if not self.turns.stopped:
+            self.turns.run(self.voter.registered(self.clock(), known, value, self._view()))
--- a/grebestack/mesh/follower.py
+++ b/grebestack/mesh/follower.py
@@ -6,8 +6,7 @@
 import logging
 import os
 import time
-from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -32,6 +31,7 @@
 from grebestack.mesh.frames import Opening, Traffic
 from grebestack.mesh.store import Files
 from grebestack.mesh.telling import monotonic_ms, tell
+from grebestack.mesh.turns import Turns
 
 log = logging.getLogger(__name__)
 Take = Callable[[Version, bytes], str]  # puts a version in force; why it is refused, or nothing
@@ -94,9 +94,9 @@
         self.dials = 0
         self.link: FeedLink | None = None
         self.opening: Opening | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.actions: deque[FollowerAction] = deque()
-        self.running = self.stopped = False
+        self.turns: Turns[FollowerAction] = Turns(
+            self.loop, self.clock, self.follower, self._do, lambda: self.follower.tick(self.clock())
+        )
 
     @property
     def version(self) -> Version:
@@ -115,13 +115,11 @@
     def start(self) -> None:
         """Follow from now on."""
         held, self.held = self.held, ()
-        self._run(self.follower.start(self.clock(), held))
+        self.turns.run(self.follower.start(self.clock(), held))
 
     def stop(self) -> None:
         """End."""
-        self.stopped = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self.turns.stop()
         if self.link is not None:
             self.link.close("stopping")
         if self.contents is not None:
@@ -129,50 +127,28 @@
 
     def tallied(self, tally: Tally) -> None:
         """The word of this process's own relay, or of one below it, goes upstream."""
-        self._run(self.follower.tallied(self.clock(), tally))
+        self.turns.run(self.follower.tallied(self.clock(), tally))
 
     # The link's owner.
 
     def connected(self, link: FeedLink) -> None:
         """The connection that was dialled is up."""
         if self.link is link:
-            self._run(self.follower.connected(self.clock(), link.number))
+            self.turns.run(self.follower.connected(self.clock(), link.number))
 
     def heard(self, link: FeedLink, message: Said) -> None:
         """A message has come."""
         if self.link is link:
-            self._run(self.follower.heard(self.clock(), link.number, message))
+            self.turns.run(self.follower.heard(self.clock(), link.number, message))
 
     def ended(self, link: FeedLink, why: str) -> None:
         """The connection has ended, or could not be made."""
         if self.link is link:
             self.link = None
-            self._run(self.follower.lost(self.clock(), link.number, why))
+            self.turns.run(self.follower.lost(self.clock(), link.number, why))
 
     # What the pure part asks for.
 
-    def _tick(self) -> None:
-        self.timer = None
-        self._run(self.follower.tick(self.clock()))
-
-    def _run(self, actions: Iterable[FollowerAction]) -> None:
-        self.actions.extend(actions)
-        if self.running:  # what is done calls back: it is done after what was asked for before
-            return
-        self.running = True
-        try:
-            while self.actions and not self.stopped:
-                self._do(self.actions.popleft())
-        finally:
-            self.running = False
-        if self.stopped:
-            return
-        if self.timer is not None:
-            self.timer.cancel()
-        now = self.clock()
-        after_ms = max(0.0, self.follower.due_ms(now) - now)
-        self.timer = self.loop.call_later(after_ms / 1000.0, self._tick)
-
     def _do(self, action: FollowerAction) -> None:
         if isinstance(action, Say):
             if self.link is not None and self.link.number == action.link:
@@ -187,7 +163,7 @@
             self._store(action)
         elif isinstance(action, Apply):
             why = self.take(action.version, action.contents)
-            self._run(self.follower.taken(self.clock(), action.version.number, why))
+            self.turns.run(self.follower.taken(self.clock(), action.version.number, why))
             self.settled()
         elif isinstance(action, Offer):
             if self.relay is not None:
@@ -197,7 +173,7 @@
                 self.relay.confirmed(action.at_ms)
             self.settled()
         elif isinstance(action, Gathered):
-            self._run(self.follower.tallied(self.clock(), action.tally))
+            self.turns.run(self.follower.tallied(self.clock(), action.tally))
         else:
             tell(action)
 
@@ -213,8 +189,8 @@
         number = store.version.number
 
         def done(why: str) -> None:
-            if not self.stopped:
-                self._run(self.follower.stored(self.clock(), number, why))
+            if not self.turns.stopped:
+                self.turns.run(self.follower.stored(self.clock(), number, why))
 
         if self.contents is None:
             done("")
--- a/grebestack/mesh/relay.py
+++ b/grebestack/mesh/relay.py
@@ -13,6 +13,7 @@
 from grebestack.mesh.feed import FeedLink
 from grebestack.mesh.frames import Traffic
 from grebestack.mesh.telling import monotonic_ms, tell
+from grebestack.mesh.turns import Turns
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024  # a zone's followers that come back at the same moment
@@ -31,8 +32,9 @@
         self.numbers = 0
         self.traffic = Traffic()
         self.server: asyncio.Server | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.stopped = False
+        self.turns: Turns[RelayAction] = Turns(
+            loop, clock, relay, self._do, lambda: self.relay.tick(self.clock())
+        )
         self.last: tuple[Said | None, bytes] = None, b""  # a push to all is encoded once
 
     @property
@@ -44,15 +46,13 @@
         """Listen."""
         self.server = await self.loop.create_server(self.accept, *self.address, backlog=BACKLOG)
         log.info("relay_listening", extra={"kv": {"address": ":".join(map(str, self.address))}})
-        self._run([])
+        self.turns.run([])
 
     def stop(self) -> None:
         """End."""
-        self.stopped = True
+        self.turns.stop()
         if self.server is not None:
             self.server.close()
-        if self.timer is not None:
-            self.timer.cancel()
         for link in list(self.links.values()):
             link.close("stopping")
 
@@ -63,52 +63,41 @@
 
     def offer(self, version: Version, contents: bytes) -> None:
         """A decided version, checked: pushed at once if it is newer."""
-        self._run(self.relay.offer(self.clock(), version, contents))
+        self.turns.run(self.relay.offer(self.clock(), version, contents))
 
     def confirmed(self, at_ms: float) -> None:
         """At that instant a majority knew nothing newer than what is offered."""
-        self._run(self.relay.confirmed(self.clock(), at_ms))
+        self.turns.run(self.relay.confirmed(self.clock(), at_ms))
 
     # The links' owner.
 
     def connected(self, link: FeedLink) -> None:
         """A follower's connection is up; it speaks first."""
-        if self.stopped or len(self.links) >= self.relay.most + GREETING:
+        if self.turns.stopped or len(self.links) >= self.relay.most + GREETING:
             link.close("too many connections")
         else:
             self.links[link.number] = link
 
     def heard(self, link: FeedLink, message: Said) -> None:
         """A message has come."""
-        if not self.stopped and self.links.get(link.number) is link:
-            self._run(self.relay.heard(self.clock(), link.number, message))
+        if not self.turns.stopped and self.links.get(link.number) is link:
+            self.turns.run(self.relay.heard(self.clock(), link.number, message))
 
     def ended(self, link: FeedLink, why: str) -> None:
         """A connection has ended."""
-        if self.links.pop(link.number, None) is not None and not self.stopped:
-            self._run(self.relay.lost(self.clock(), link.number, why))
-
-    def _tick(self) -> None:
-        self.timer = None
-        self._run(self.relay.tick(self.clock()))
-
-    def _run(self, actions: list[RelayAction]) -> None:
-        for action in actions:
-            if isinstance(action, Say):
-                if (link := self.links.get(action.link)) is not None:
-                    if self.last[0] is not action.message:
-                        self.last = action.message, encode(action.message)
-                    link.write(self.last[1])
-            elif isinstance(action, Close):
-                if (link := self.links.pop(action.link, None)) is not None:
-                    link.leave(action.why)  # it may have just been told why
-            elif isinstance(action, Gathered):
-                self.gathered(action.tally)
-            else:
-                tell(action)
-        if self.stopped:
-            return
-        if self.timer is not None:
-            self.timer.cancel()
-        now = self.clock()
-        self.timer = self.loop.call_later(max(0.0, self.relay.due_ms(now) - now) / 1000.0, self._tick)
+        if self.links.pop(link.number, None) is not None and not self.turns.stopped:
+            self.turns.run(self.relay.lost(self.clock(), link.number, why))
+
+    def _do(self, action: RelayAction) -> None:
+        if isinstance(action, Say):
+            if (link := self.links.get(action.link)) is not None:
+                if self.last[0] is not action.message:
+                    self.last = action.message, encode(action.message)
+                link.write(self.last[1])
+        elif isinstance(action, Close):
+            if (link := self.links.pop(action.link, None)) is not None:
+                link.leave(action.why)  # it may have just been told why
+        elif isinstance(action, Gathered):
+            self.gathered(action.tally)
+        else:
+            tell(action)
