Keep up to 1,024 undecided contents of 16 MiB at a voter: 16 shut the door in a burst

Cause: fleet/configuration.py MOST_KEPT, _contents: contents that have lost are kept for a minute, and beyond 16 no other voter keeps a new proposal's, which then waits out its 5 s. Ruled out: proposals that beat each other at the register (a round takes ms, pauses are 100 to 400 ms).

--- a/grebestack/fleet/configuration.py
+++ b/grebestack/fleet/configuration.py
@@ -35,7 +35,7 @@
 from grebestack.fleet.versions import MOST_CONTENTS, NO_VERSION, Version, check, digest_of, sound, wrong
 
 REGISTER = "configuration"
-MOST_KEPT = 16  # contents that are not decided yet
+MOST_KEPT, MOST_KEPT_BYTES = 1024, 16 * 1024 * 1024  # contents that are not decided yet
 MOST_BEATS = 16  # signs of life whose answers may still come
 MOST_NAMES = 65_536
 
@@ -484,8 +484,10 @@
             self.keeping[digest] = contents, names | {name}
             return []
         actions = self._discard(now_ms, "")
-        if len(self.kept_here) + len(self.keeping) >= MOST_KEPT:
-            why = wrong("kept", len(self.kept_here) + len(self.keeping) + 1, f"up to {MOST_KEPT} undecided")
+        sizes = [len(one) for one, _ in (*self.kept_here.values(), *self.keeping.values())]
+        if len(sizes) >= MOST_KEPT or sum(sizes) + len(word.contents) > MOST_KEPT_BYTES:
+            said = f"{len(sizes) + 1} of {sum(sizes) + len(word.contents)} bytes"
+            why = wrong("kept", said, f"up to {MOST_KEPT} undecided of {MOST_KEPT_BYTES} bytes")
             return [*actions, *self._wrong("kept", name, why)]
         self.keeping[digest] = word.contents, frozenset({name})
         return [*actions, Keep(digest, word.contents)]
