Test what a process costs on one whose threads do not end meanwhile

Cause: benchmarks/scaling/processes.py, Cost.of, sums over the threads that live; a thread of the test process ended between the two looks. The processes that are measured have threads that stay.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-import os
-import time
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -308,17 +308,32 @@
     assert number_of("FAILURE no majority is heard") == -1
 
 
+SPENDS = """
+import os, sys, time
+os.write(1, b"r")
+os.read(0, 1)
+until = time.process_time() + 0.05
+while time.process_time() < until:
+    pass
+os.write(1, b"x" * 1000)
+os.read(0, 1)
+"""
+
+
 def test_what_a_process_costs_is_read() -> None:
-    before = Cost.of(os.getpid())
-    until = time.process_time() + 0.05
-    while time.process_time() < until:
-        pass
-    reading, writing = os.pipe()
-    os.write(writing, b"x" * 1000)
-    os.read(reading, 1000)
-    rates, after = Rates.between(before, Cost.of(os.getpid())), Cost.of(os.getpid())
-    os.close(reading)
-    os.close(writing)
+    """Of a process of its own: this one's threads come and go, and what an ended one cost is lost."""
+    with subprocess.Popen(
+        [sys.executable, "-c", SPENDS], stdin=subprocess.PIPE, stdout=subprocess.PIPE, bufsize=0
+    ) as child:
+        assert child.stdin is not None and child.stdout is not None
+        assert child.stdout.read(1) == b"r"
+        before = Cost.of(child.pid)
+        child.stdin.write(b"g")
+        got = 0
+        while got < 1000:
+            got += len(child.stdout.read(1000 - got))
+        rates, after = Rates.between(before, Cost.of(child.pid)), Cost.of(child.pid)
+        child.stdin.write(b"e")
     assert after.cpu_s - before.cpu_s >= 0.04
     assert after.bytes_out - before.bytes_out >= 1000 and after.writes - before.writes >= 1
     assert rates.cpu_share > 0.0 and rates.memory_mb > 5.0
