Have the two explorations of the configuration share one command line

tests/configuration_states.py and configuration_voters.py each had the same parser and conclusion; tests/exploring.py has it once.

--- a/tests/configuration_states.py
+++ b/tests/configuration_states.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import argparse
 import sys
 from collections.abc import Iterator
 from dataclasses import replace
@@ -532,12 +531,9 @@
 
 def main() -> int:
     """Explore from the command line."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--states", type=int, default=100_000)
-    parser.add_argument("--variant", default="", choices=("", *VARIANTS))
-    parser.add_argument("--start", default="lost", choices=tuple(STARTS))
-    args = parser.parse_args()
-    return explore(Model(args.variant, args.start), args.states).conclude()
+    return exploring.command(
+        lambda variant, start, most: explore(Model(variant, start), most), VARIANTS, STARTS, "lost"
+    )
 
 
 if __name__ == "__main__":
--- a/tests/configuration_voters.py
+++ b/tests/configuration_voters.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import argparse
 import sys
 from collections.abc import Iterator
 from itertools import combinations
@@ -320,12 +319,9 @@
 
 def main() -> int:
     """Explore from the command line."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--states", type=int, default=100_000)
-    parser.add_argument("--variant", default="", choices=("", *VARIANTS))
-    parser.add_argument("--start", default="race", choices=tuple(STARTS))
-    args = parser.parse_args()
-    return explore(Model(args.variant, args.start), args.states).conclude()
+    return exploring.command(
+        lambda variant, start, most: explore(Model(variant, start), most), VARIANTS, STARTS, "race"
+    )
 
 
 if __name__ == "__main__":
--- a/tests/exploring.py
+++ b/tests/exploring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 from collections import deque
 from collections.abc import Callable, Hashable, Iterable
 from typing import Any, NamedTuple, TypeVar
@@ -50,6 +51,18 @@
     return Found(len(came), True)
 
 
+def command(
+    explored: Callable[[str, str, int], Found], variants: Iterable[str], starts: Iterable[str], start: str
+) -> int:
+    """Explore from the command line, by variant, start and how many states at most; the exit code."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--states", type=int, default=100_000)
+    parser.add_argument("--variant", default="", choices=("", *variants))
+    parser.add_argument("--start", default=start, choices=tuple(starts))
+    args = parser.parse_args()
+    return explored(args.variant, args.start, args.states).conclude()
+
+
 def _trace(came: dict[S, tuple[S, str] | None], world: S) -> tuple[str, ...]:
     trace = []
     while (step := came[world]) is not None:
