Move the update of a listed worker from the policy to the context it changes

Ruled out: a further module; the method uses only what the context holds. Change: `_update_worker` is `DecisionContext.update_worker`, word for word. Result: the recorded decisions (tests/test_golden_decisions.py) are the same.

--- a/grebestack/core/context.py
+++ b/grebestack/core/context.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from grebestack.core.estimates import Estimates
+from grebestack.core.events import WorkerEntry
 from grebestack.core.settings import Settings
 from grebestack.core.workers import TrackedWorker
 
@@ -28,3 +29,16 @@
     def jittered_ms(self, mean_ms: float, doublings: int = 0) -> float:
         """Return a random delay in ms: 0.5 to 1.5 times the mean, which is doubled so often."""
         return mean_ms * 2.0 ** min(doublings, MAX_BACKOFF_DOUBLINGS) * self.random.uniform(0.5, 1.5)
+
+    def update_worker(self, entry: WorkerEntry) -> bool:
+        """Take over an entry of the endpoint list; return whether it changes which workers are ready."""
+        settings = self.settings
+        known = self.workers.get(entry.worker)
+        worker = known or TrackedWorker(entry, entry.zone == settings.zone)
+        if known is None or entry.started_ms not in (None, worker.entry.started_ms):
+            self.workers[entry.worker] = worker
+            worker.on_restarted(self.now_ms, entry.started_ms, settings.slow_start_ms)
+        changed = worker.update_entry(entry)
+        if settings.weights_follow_load and "free_slots" in settings.report_fields:
+            worker.on_load_weight(self.now_ms, self.estimates)
+        return changed
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -119,7 +119,7 @@
             for name, worker in self.workers.items():
                 worker.is_ready = worker.is_ready and name in names
         for entry in event.workers:
-            changed = self._update_worker(entry) or changed
+            changed = self.context.update_worker(entry) or changed
         if changed:
             self.selector.on_workers_changed()
             self._serve_queue()
@@ -137,19 +137,6 @@
         self.timers.add(context.now_ms + pause_ms, lambda: self.actions.append(api.WatchList()))
         self.list_failure_count += 1
 
-    def _update_worker(self, entry: api.WorkerEntry) -> bool:
-        """Take over an entry of the endpoint list; return whether it changes which workers are ready."""
-        context, settings = self.context, self.context.settings
-        known = context.workers.get(entry.worker)
-        worker = known or TrackedWorker(entry, entry.zone == settings.zone)
-        if known is None or entry.started_ms not in (None, worker.entry.started_ms):
-            context.workers[entry.worker] = worker
-            worker.on_restarted(context.now_ms, entry.started_ms, settings.slow_start_ms)
-        changed = worker.update_entry(entry)
-        if settings.weights_follow_load and "free_slots" in settings.report_fields:
-            worker.on_load_weight(context.now_ms, context.estimates)
-        return changed
-
     def _on_ranking_timer(self) -> None:
         """Renew the rankings of workers and queues, and forget workers that are gone."""
         context = self.context
