Compute slow start by the settings in force: a shorter one made decisions raise

What callers saw: after a SIGHUP that shortens rules.warmWithinMs under a warming worker, requests were answered 500, or not before their deadline.

Cause: a worker kept the end of its slow start as computed at its start. Under a shorter slow start that end is further away than all of it: the warmth in draw_turn is negative, its root has no value.

Ruled out: a bound on the warmth alone. It ends the exception, but the worker then warms up by the settings that are gone, and a turn drawn for 1,000 dispatchers outlasts a reload that leaves one.

Change: a worker keeps when its process started; the end follows from the settings, and a reload of one of the five that turns depend on draws its turn anew. The same fault elsewhere: a hot restart brought the end to a successor with other settings (apply_own_slow_start); tipAfterMs = 0, which is allowed, divided by zero (MIN_JOBS_IN_WINDOW).

--- a/grebestack/core/checkpoint.py
+++ b/grebestack/core/checkpoint.py
@@ -102,6 +102,21 @@
     policy.selector.orders.clear()
 
 
+def apply_own_slow_start(policy: Policy) -> None:
+    """Compute the slow starts that a checkpoint has brought anew, by the settings of this policy.
+
+    The other policy may have had a longer slow start. A worker counts as started when that one thought so,
+    or when the endpoint list says so if that is later, and never in the future.
+    """
+    now_ms, slow_start_ms = policy.context.now_ms, policy.settings.slow_start_ms
+    for worker in policy.workers.values():
+        started_ms = min(now_ms, worker.warm_at_ms - slow_start_ms)
+        listed_ms = worker.process_started_ms
+        if listed_ms is not None or worker.warm_at_ms > now_ms:
+            worker.process_started_ms = started_ms if listed_ms is None else max(started_ms, listed_ms)
+        worker.on_slow_start_changed(now_ms, slow_start_ms)
+
+
 class InheritedAttempts:
     """Attempts of the predecessor, counted as this dispatcher's own at their workers.
 
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -101,7 +101,9 @@
         self.selector.on_settings_changed()
 
     def _on_settings_changed(self, event: api.SettingsChanged) -> None:
+        former = self.settings
         self._apply_settings(event.settings)
+        self.slow_start.on_settings_changed(former)
 
     def _on_timer_fired(self, event: api.TimerFired) -> None:
         self.timers.run_due(self.context.now_ms, event.token)
--- a/grebestack/core/slow_start.py
+++ b/grebestack/core/slow_start.py
@@ -9,10 +9,12 @@
 import math
 
 from grebestack.core.context import DecisionContext
+from grebestack.core.settings import Settings
 from grebestack.core.workers import TrackedWorker
 
 BUDGET_DEVIATIONS = 2.5  # the jobs that arrive by chance stay within the budget up to so many deviations
 TURN_DEVIATIONS = 2.0  # a turn lasts for so many deviations of the budget's window
+MIN_JOBS_IN_WINDOW = 1e-6  # allowed even where the settings leave no time or no capacity
 
 
 class SlowStart:
@@ -22,6 +24,14 @@
         """Keep no state; the turns are stored with their workers."""
         self.context = context
 
+    def on_settings_changed(self, former: Settings) -> None:
+        """Apply other terms of slow start to the workers that are warming up already."""
+        settings = self.context.settings
+        if _terms(settings) == _terms(former):
+            return
+        for worker in self.context.workers.values():
+            worker.on_slow_start_changed(self.context.now_ms, settings.slow_start_ms)
+
     def has_turn(self, worker: TrackedWorker) -> bool:
         """Whether a warming worker may be sent a job now.
 
@@ -41,7 +51,7 @@
         warmth = min(1.0, 1.0 - (worker.warm_at_ms - since_ms) * warming_per_ms)
         budget = self.context.estimates.kind_slots.get(worker.entry.kind, 1.0) * s.overload_factor
         # The jobs allowed in the window. When m are meant, m + c * sqrt(m) may arrive by chance.
-        most = warmth * budget * s.overload_window_ms / (slots * run_ms)
+        most = max(MIN_JOBS_IN_WINDOW, warmth * budget * s.overload_window_ms / (slots * run_ms))
         budget *= (math.sqrt(BUDGET_DEVIATIONS**2 + 4.0 * most) - BUDGET_DEVIATIONS) ** 2 / (4.0 * most)
         # The delay accounts for the growth of the budget until then.
         full_budget_delay_ms = (
@@ -53,3 +63,14 @@
         worker.warming_turn_end_ms = worker.warming_turn_start_ms + max(
             1.0, TURN_DEVIATIONS * s.overload_window_ms / math.sqrt(max(1.0, most))
         )
+
+
+def _terms(settings: Settings) -> tuple[float, ...]:
+    """Return the settings on which the end of a slow start and its turns depend."""
+    return (
+        settings.slow_start_initial_share,
+        settings.slow_start_ms,
+        settings.overload_factor,
+        settings.overload_window_ms,
+        settings.dispatcher_count,
+    )
--- a/grebestack/core/workers.py
+++ b/grebestack/core/workers.py
@@ -43,6 +43,7 @@
     consecutive_trials: int = 0
     last_success_ms: float = 0.0
     # Slow start: a send is allowed from the turn's beginning to its end.
+    process_started_ms: float | None = None  # None: long ago, so that it is warm
     warm_at_ms: float = 0.0
     warming_turn_start_ms: float = 0.0
     warming_turn_end_ms: float = 0.0
@@ -72,7 +73,13 @@
         self.consecutive_overloads, self.consecutive_connection_errors = 0, 0
         self.slowness, self.error_rates, self.consecutive_trials = 1.0, {}, 0
         self.load_report, self.load_known_ms, self.last_success_ms, self.cached_keys = {}, 0.0, 0.0, {}
-        self.warm_at_ms = 0.0 if started_ms is None else min(started_ms, now_ms) + slow_start_ms
+        self.process_started_ms = None if started_ms is None else min(started_ms, now_ms)
+        self.on_slow_start_changed(now_ms, slow_start_ms)
+
+    def on_slow_start_changed(self, now_ms: float, slow_start_ms: float) -> None:
+        """Compute the end of its slow start from when its process started, and drop the drawn turn."""
+        started_ms = self.process_started_ms
+        self.warm_at_ms = 0.0 if started_ms is None else started_ms + slow_start_ms
         self.warming_turn_end_ms = now_ms
 
     def count_attempt(self, arrival: RequestArrived, sign: int) -> None:
--- a/grebestack/program/hot_restart_state.py
+++ b/grebestack/program/hot_restart_state.py
@@ -68,6 +68,7 @@
     checkpoint.restore_checkpoint(policy, learned)
     dispatcher.table.update(ListKind.CACHED, [worker_from_wire(raw) for raw in state["servers"]])
     checkpoint.restore_checkpoint(policy, learned)
+    checkpoint.apply_own_slow_start(policy)
 
 
 def worker_to_wire(worker: Server) -> list[Any]:
