Answer requests though a decision raises: nothing was said of some until the kill

What callers saw, where the decision module raised (as after a reload that shortened slow start): a request that had just come was answered 500 and stayed in the engine, to be sent later all the same; one that was sent was never answered, since its deadline raised as well; queued ones were not looked at again, since the scan's mark stayed set.

Cause: the exception left Engine._feed at whatever place had fed the event, and the actions decided before it stayed in the module.

Ruled out: making a new module in its place, which would forget what is out at which worker.

Change: the engine guards each decision. What was decided before the fault is carried out (Policy.take_actions), a request on whose arrival it was raised is rejected, all others keep their deadlines, which answer them; `decision_failed` is logged once a second. A turn is drawn before the attempt counts, and a scan that raised schedules the next one.

--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -87,6 +87,13 @@
             if context.settings.polls_endpoint_list:
                 self.actions.append(api.WatchList())
         self.handlers[type(event)](event)
+        return self.take_actions()
+
+    def take_actions(self) -> list[api.Action]:
+        """Return the actions decided since they were last returned, with the timer that is due next.
+
+        `handle` does so itself. After it has raised, this returns what was decided before the fault.
+        """
         if (at_ms := self.timers.next_timer_ms()) is not None:
             self.actions.append(api.SetTimer(at_ms, self.timers.token))
         actions, self.actions = self.actions, []
@@ -202,12 +209,12 @@
         attempt = Attempt(worker, context.now_ms, arrival.slots, arrival.memory, run_ms)
         self.outliers.on_sent(worker, class_index, run_ms)
         by_ms = send_by_ms(request)  # before this attempt counts
+        if worker.warm_at_ms > context.now_ms:
+            self.slow_start.draw_turn(worker, arrival.slots, run_ms, context.now_ms)
         request.attempts.append(attempt)
         worker.count_attempt(arrival, 1)
         if arrival.key is not None:
             worker.cache_key(arrival.key, CACHED_KEYS)
-        if worker.warm_at_ms > context.now_ms:
-            self.slow_start.draw_turn(worker, arrival.slots, run_ms, context.now_ms)
         worker.recent_attempts.append(attempt)
         if context.settings.reports_attempt_start:
             worker.unstarted_count += 1
@@ -278,12 +285,14 @@
             for worker in self.workers.values()
             if worker.is_ready and worker.cached_keys and worker.may_have_capacity(now_ms)
         ]
-        for worker in self.context.random.sample(free, min(MAX_SCANNED_WORKERS, len(free))):
-            self._serve_queue(worker)
-        self._serve_queue()
-        self.is_scan_scheduled = False
-        if not self.queue.is_empty():
-            self._schedule_scan()
+        try:
+            for worker in self.context.random.sample(free, min(MAX_SCANNED_WORKERS, len(free))):
+                self._serve_queue(worker)
+            self._serve_queue()
+        finally:
+            self.is_scan_scheduled = False
+            if not self.queue.is_empty():
+                self._schedule_scan()
 
     def _serve_queue(self, freed: TrackedWorker | None = None) -> None:
         """Try the first or most valuable queued requests, at one worker or at all (None)."""
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -15,6 +15,7 @@
 
 log = logging.getLogger(__name__)
 NO_REPORT: Mapping[str, float] = {}
+FAULT_LOG_INTERVAL_MS = 1000.0  # a decision module that raises is logged once in this time
 
 
 class Engine:
@@ -29,6 +30,7 @@
         self.last = 0
         self.events: deque[tuple[api.Event, float]] = deque()
         self.feeding = False
+        self.next_fault_log_ms = 0.0
         self.counts: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()  # dispatches by server since `tally` was last asked
         # During an upgrade the other process is told of these.
@@ -215,11 +217,37 @@
         try:
             while self.events:
                 event, least_ms = self.events.popleft()
-                for action in self.policy.handle(max(least_ms, self.clock.now_ms()), event):
+                for action in self._decide(max(least_ms, self.clock.now_ms()), event):
                     self._carry_out(action)
         finally:
             self.feeding = False
 
+    def _decide(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        """Return what the decision module decides on an event.
+
+        Where it raises, what it had decided before is carried out, and a request that has just arrived is
+        rejected. All other requests stay as they are: each is answered by its deadline at the latest.
+        """
+        try:
+            return self.policy.handle(now_ms, event)
+        except Exception:  # whatever it is: the other events and requests must not suffer from it
+            self._log_fault(now_ms, event)
+            actions = self.policy.take_actions()
+            sent = {action.request for action in actions if isinstance(action, api.Send)}
+            if isinstance(event, api.RequestArrived) and event.request not in sent:
+                actions.append(api.Reject(event.request))
+                self.events.append((api.RequestDropped(event.request), 0.0))
+            return actions
+
+    def _log_fault(self, now_ms: float, event: api.Event) -> None:
+        """Count and log a fault of the decision module; to be called while its exception is handled."""
+        self.counts["decision_faults"] += 1
+        if now_ms < self.next_fault_log_ms:
+            return
+        self.next_fault_log_ms = now_ms + FAULT_LOG_INTERVAL_MS
+        kv = {"on": type(event).__name__, "faults": self.counts["decision_faults"]}
+        log.exception("decision_failed", extra={"kv": kv})
+
     def _carry_out(self, action: api.Action) -> None:
         if isinstance(action, api.SetTimer):
             # Fired as at its time at the earliest: a loop's timers may be a little early.
