Count a vote only once another member has heard of it: two held a lease at once

What callers saw: two members of a cluster held one task's lease at once; only the fencing token of whatever the task acts upon would have kept it from being done twice.

Cause: a member counted its own vote once that was durable on its own disk. Killed before it had sent another message, with a disk that came back as an older copy, it was confirmed by peers that could not know better, and voted again without the vote that had made a quorum. Of three members one peer was enough, a second after the start.

Ruled out: two witnesses and three confirming members of five. Not counting own votes, and fewer confirmations with more witnesses: of three members no vote counts while one is down.

Change: a vote leaves only when, with its receiver, one other member has heard of its record, known by responses to heartbeats (consensus/witnesses.py); after a start all others must confirm the disk, so that the witness is among them. The same for the end of voting in an epoch and for a member that enters a larger one. The wire is as it was.

A check replaced: test_a_member_votes_only_once_others_have_said_how_far_they_heard_it asked that one of two peers be enough after a second. That was the fault; now it asks that it is not, and that both are. CONFIRMATION_GRACE_MS is gone with it.

--- a/grebestack/consensus/acceptor.py
+++ b/grebestack/consensus/acceptor.py
@@ -1,18 +1,18 @@
 """The acceptor of one member: what it promises and accepts, and when it may vote. Pure.
 
 A response leaves only when all that was written before it is durable: another member may rely on it at once,
-and this one must not forget it in a crash. An acceptor votes only while its disk can be trusted:
+and this one must not forget it in a crash. A vote leaves only when its receiver makes the last of its
+witnesses (see `witnesses`). An acceptor votes only while its disk can be trusted:
 
 - with a new disk it does not vote until a membership counts it under its new disk incarnation;
-- after a start it first learns from enough others to make a quorum with it which of its log records each has
-  seen reported: one that knows of a later record than the disk holds shows that the disk has lost some or is
-  an old copy;
+- after a start it first learns which of its log records others have seen reported, from so many that a
+  witness of each vote is among them: one that knows of a later record than the disk holds shows that the disk
+  has lost some or is an old copy;
 - once a write or sync has failed, nothing on that disk is trusted again.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -25,6 +25,7 @@
     EpochEntered,
     EpochRequest,
     Handshake,
+    Heartbeat,
     IncarnationStarted,
     LogRecord,
     MembershipConfig,
@@ -47,31 +48,43 @@
     accept,
     prepare,
 )
-
-CONFIRMATION_GRACE_MS = 1000.0  # after a start: for how long to wait for more peers than a quorum needs
+from grebestack.consensus.witnesses import RecordWitnesses
 
 
 class _PendingResponse(NamedTuple):
-    """A response that waits until a log record is durable."""
+    """A response that waits until a log record is durable and witnessed."""
 
     record: int
     to: str
     message: Message
+    witness_count: int  # others than its receiver that must have heard of the record
+
+    def is_superseded_by(self, newer: _PendingResponse) -> bool:
+        """Whether the receiver has no use for this response once there is a newer one."""
+        mine, other = self.message, newer.message
+        if self.to != newer.to or type(mine) is not type(other):
+            return False
+        if isinstance(mine, Promise | Accepted | Rejected) and isinstance(
+            other, Promise | Accepted | Rejected
+        ):
+            return mine.register == other.register and mine.ballot != other.ballot
+        return True
 
 
 class Acceptor:
     """The acceptor of one member. Its actions must be carried out in order."""
 
-    def __init__(self, name: str, state: RecoveredState, last_record: int, now_ms: float) -> None:
+    def __init__(self, name: str, state: RecoveredState, last_record: int) -> None:
         """Begin with the state of a log, whose last record is `last_record`."""
         self.name, self.state = name, state
         self.last_record = last_record  # written
         self.synced_record = last_record  # durable
         self.recovered_record = last_record  # read at the start
-        self.pending: deque[_PendingResponse] = deque()
-        self.started_ms = now_ms
+        self.pending: list[_PendingResponse] = []
+        self.witnesses = RecordWitnesses()
         self.is_confirmed = False  # whether other members have confirmed the disk since the start
-        self.confirming_peers: set[str] = set()
+        self.confirming_peers: set[str] = set()  # that have been connected since the start
+        self.is_new_disk = False  # this process has begun the log, so that the disk has lost nothing
         self.disk_fault = ""  # why nothing on the disk is trusted
         self.handlers: dict[type[Message], Callable[[Peer, Any], list[Action]]] = {
             Prepare: self._on_prepare,
@@ -89,7 +102,23 @@
     @property
     def may_vote(self) -> bool:
         """Whether it responds to `Prepare` and `Accept`."""
-        return self.is_confirmed and not self.disk_fault and self.is_voter and self.state.next_config is None
+        return self._is_trusted_voter and self.state.next_config is None
+
+    @property
+    def _is_trusted_voter(self) -> bool:
+        """Whether it is a voter whose disk has lost no vote of the present epoch."""
+        is_trusted = self.is_confirmed and not self.disk_fault and self._has_enough_confirmations
+        return is_trusted and self.is_voter
+
+    @property
+    def _has_enough_confirmations(self) -> bool:
+        """Whether a witness of each vote in the present epoch is among the confirming members.
+
+        It may have confirmed its disk in an earlier epoch, which had fewer members.
+        """
+        config = self.state.config
+        others = config.names() - {self.name}
+        return self.is_new_disk or len(self.confirming_peers & others) >= config.confirmation_count
 
     @property
     def reported_record(self) -> int:
@@ -102,7 +131,7 @@
             return f"out: {self.disk_fault}"
         if not self.is_voter:
             return "out: asks to be admitted"
-        if not self.is_confirmed:
+        if not (self.is_confirmed and self._has_enough_confirmations):
             return "waits to hear how far others have heard it"
         return "changes the set" if self.state.next_config is not None else "votes"
 
@@ -115,23 +144,63 @@
         self.last_record += 1
         return [Write(record)]
 
-    def _send_when_durable(self, to: str, message: Message) -> list[Action]:
-        """Send a response once all records that it may depend on are durable."""
-        if self.synced_record >= self.last_record:
+    # Responses that wait.
+
+    def _send_vote(self, to: str, message: Message) -> list[Action]:
+        """Send a vote once its record is durable and, with the receiver, has all its witnesses."""
+        config = self.state.config
+        is_witness = to != self.name and to in config.names()
+        return self._send_when_ready(to, message, config.witness_count - is_witness)
+
+    def _send_when_ready(self, to: str, message: Message, witness_count: int) -> list[Action]:
+        """Send a response once all records that it may depend on are durable and witnessed."""
+        response = _PendingResponse(self.last_record, to, message, witness_count)
+        if self._may_leave(response):
             return [Send(to, message)]
-        self.pending.append(_PendingResponse(self.last_record, to, message))
-        return []
+        self.pending = [former for former in self.pending if not former.is_superseded_by(response)]
+        self.pending.append(response)
+        return self._request_witnesses()
+
+    def _may_leave(self, response: _PendingResponse) -> bool:
+        if response.record > self.synced_record:
+            return False
+        others = self.state.config.names() - {self.name, response.to}
+        return self.witnesses.count(response.record, others) >= response.witness_count
+
+    def _release(self) -> list[Action]:
+        """Send the responses that need not wait any longer."""
+        ready = [response for response in self.pending if self._may_leave(response)]
+        if ready:
+            self.pending = [response for response in self.pending if not self._may_leave(response)]
+        sends = [Send(response.to, response.message) for response in ready]
+        return [*sends, *self._request_witnesses()]
+
+    def _request_witnesses(self) -> list[Action]:
+        """Send heartbeats, whose responses show that others have heard of the records in question."""
+        durable = [r.record for r in self.pending if r.record <= self.synced_record]
+        if not durable:
+            return []
+        others = self.state.config.names() - {self.name}
+        return [Send(name, Heartbeat()) for name in self.witnesses.members_to_ask(max(durable), others)]
+
+    # Events of connections.
+
+    def on_disconnected(self, name: str) -> None:
+        """Handle the end of a connection: its member asks again when it is connected."""
+        self.witnesses.on_disconnected(name)
+        self.pending = [response for response in self.pending if response.to != name]
+
+    def on_heartbeat_response(self, name: str) -> list[Action]:
+        """Handle the response to a heartbeat: its sender has heard of the record that went with it."""
+        self.witnesses.on_heartbeat_response(name)
+        return self._release()
 
     # Events of the disk.
 
     def on_synced(self, last_record: int) -> list[Action]:
         """Handle the sync of all records up to this one."""
         self.synced_record = max(self.synced_record, last_record)
-        actions: list[Action] = []
-        while self.pending and self.pending[0].record <= self.synced_record:
-            response = self.pending.popleft()
-            actions.append(Send(response.to, response.message))
-        return actions
+        return self._release()
 
     def on_disk_fault(self, reason: str) -> list[Action]:
         """Handle a disk that has failed or has lost records."""
@@ -147,15 +216,15 @@
         self.last_record += len(records)
         return records
 
-    def on_disk_replaced(
-        self, cluster: str, disk_incarnation: str, config: MembershipConfig, now_ms: float
-    ) -> list[Action]:
+    def on_disk_replaced(self, cluster: str, disk_incarnation: str, config: MembershipConfig) -> list[Action]:
         """Handle an empty log under a new disk incarnation. The membership is kept; votes are not."""
         self.state = RecoveredState()
         self.last_record = self.synced_record = self.recovered_record = 0
         self.pending.clear()
-        self.disk_fault, self.started_ms = "", now_ms
-        self.is_confirmed = True  # this incarnation has never voted, so it has lost no vote
+        self.witnesses.forget_records()
+        self.disk_fault = ""
+        self.is_confirmed = self.is_new_disk = True
+        self.confirming_peers.clear()
         return [
             *self._write(IncarnationStarted(cluster, disk_incarnation, config)),
             *self._write(ProcessStarted(1)),
@@ -163,30 +232,30 @@
 
     # Confirmation of the disk.
 
-    def on_handshake(self, now_ms: float, handshake: Handshake) -> list[Action]:
+    def on_handshake(self, handshake: Handshake) -> list[Action]:
         """Compare the disk with the log record that a member has seen reported."""
-        position = handshake.log_positions.get(self.name)
-        known = self.last_record if self.is_confirmed else self.recovered_record
-        if position is not None and position[0] == self.state.disk_incarnation and position[1] > known:
+        incarnation, heard = handshake.log_positions.get(self.name, ("", 0))
+        if incarnation != self.state.disk_incarnation:
+            heard = 0
+        # At the first contact it can only have heard of records that were durable before the start.
+        is_first_contact = handshake.name not in self.confirming_peers
+        known = self.recovered_record if is_first_contact else self.last_record
+        if heard > known:
             return self.on_disk_fault(
-                f"{handshake.name} has heard of record {position[1]}, the disk ends at {known}"
+                f"{handshake.name} has heard of record {heard}, the disk ends at {known}"
             )
+        self.witnesses.on_connected(handshake.name, heard)
         self.confirming_peers.add(handshake.name)
-        return self.check_confirmation(now_ms)
+        return [*self.check_confirmation(), *self._release()]
 
-    def check_confirmation(self, now_ms: float) -> list[Action]:
+    def check_confirmation(self) -> list[Action]:
         """Trust the disk once enough others have confirmed it."""
-        config = self.state.config
-        others = config.names() - {self.name}
-        if self.is_confirmed or self.disk_fault or not config.epoch:
-            return []
-        confirmed = len(self.confirming_peers & others)
-        is_grace_over = now_ms >= self.started_ms + CONFIRMATION_GRACE_MS
-        is_enough = confirmed >= config.quorum_size - 1 and is_grace_over
-        if confirmed < len(others) and not is_enough:
+        is_member_known = bool(self.state.config.epoch)
+        if self.is_confirmed or self.disk_fault or not (is_member_known and self._has_enough_confirmations):
             return []
         self.is_confirmed = True
-        return [LogMessage("fleet_disk_vouched", {"by": confirmed, "record": self.last_record})]
+        kv = {"by": len(self.confirming_peers), "record": self.last_record}
+        return [LogMessage("fleet_disk_vouched", kv)]
 
     # Requests of proposers and of changes of the membership.
 
@@ -238,19 +307,19 @@
             message = Accepted(epoch, register, ballot)
         else:
             message = Rejected(epoch, register, ballot, response.promised)
-        return actions + self._send_when_durable(peer.name, message)
+        return actions + self._send_vote(peer.name, message)
 
     def _on_stop_voting(self, peer: Peer, message: StopVoting) -> list[Action]:
         epoch = self.state.config.epoch
         if message.epoch < epoch:
             return self.send_epoch(peer)
-        if message.epoch > epoch or not (self.is_confirmed and self.is_voter) or self.disk_fault:
+        if message.epoch > epoch or not self._is_trusted_voter:
             return []
         actions: list[Action] = []
         if self.state.next_config is None:
             actions = self._write(EpochEnded(message.next_config))
         stopped = VotingStopped(message.epoch, self.state.register_entries())
-        return actions + self._send_when_durable(peer.name, stopped)
+        return actions + self._send_vote(peer.name, stopped)
 
     def _on_enter_epoch(self, peer: Peer, message: EnterEpoch) -> list[Action]:
         # Being a member of the epoch does not confirm the disk: an old copy may have voted there already.
@@ -272,6 +341,5 @@
         is_in_epoch = self.is_confirmed and self.is_voter and self.state.next_config is None
         if self.disk_fault or not is_in_epoch:
             return []
-        return self._send_when_durable(
-            peer.name, EnterEpoch(self.state.config, self.state.register_entries())
-        )
+        entered = EnterEpoch(self.state.config, self.state.register_entries())
+        return self._send_when_ready(peer.name, entered, witness_count=0)
--- a/grebestack/consensus/replica.py
+++ b/grebestack/consensus/replica.py
@@ -68,7 +68,7 @@
     ) -> None:
         """Begin without connections; `start` returns the first actions."""
         self.name, self.names = name, frozenset(names)
-        self.acceptor = Acceptor(name, state, last_record, now_ms)
+        self.acceptor = Acceptor(name, state, last_record)
         others = self.names - {name}
         self.failure_detector = FailureDetector(others, times or HeartbeatTimes(), random, now_ms)
         self.connections: dict[str, Peer] = {}
@@ -132,7 +132,7 @@
     def on_disk_replaced(self, now_ms: float, disk_incarnation: str) -> list[Action]:
         """Handle an empty log. Connections must be made anew: they carry the former disk incarnation."""
         cluster = self.acceptor.state.cluster
-        actions = self.acceptor.on_disk_replaced(cluster, disk_incarnation, self.config, now_ms)
+        actions = self.acceptor.on_disk_replaced(cluster, disk_incarnation, self.config)
         return self._deliver_to_self(now_ms, actions)
 
     # Events of connections.
@@ -142,7 +142,7 @@
         peer = Peer(handshake.name, handshake.disk_incarnation, handshake.process_incarnation)
         self.connections[peer.name] = peer
         self.failure_detector.on_connected(peer.name, now_ms)
-        actions = self.acceptor.on_handshake(now_ms, handshake)
+        actions = self.acceptor.on_handshake(handshake)
         if handshake.epoch > self.config.epoch:
             actions.append(Send(peer.name, EpochRequest(self.config.epoch)))
         actions += self.proposals.resend_to(peer.name)
@@ -152,6 +152,7 @@
         """Handle the end of a connection."""
         self.connections.pop(name, None)
         self.failure_detector.on_disconnected(name)
+        self.acceptor.on_disconnected(name)
         return []
 
     def on_message(self, now_ms: float, name: str, last_record: int, message: Message) -> list[Action]:
@@ -176,7 +177,7 @@
 
     def _on_heartbeat_response(self, now_ms: float, peer: Peer, message: HeartbeatResponse) -> list[Action]:
         self.failure_detector.on_heartbeat_response(message, now_ms)
-        return []
+        return self.acceptor.on_heartbeat_response(peer.name)
 
     def _on_join_request(self, now_ms: float, peer: Peer, message: JoinRequest) -> list[Action]:
         self.membership.on_join_request(now_ms, peer, message)
@@ -244,7 +245,7 @@
     def tick(self, now_ms: float) -> list[Action]:
         """Do what is due."""
         actions = self.failure_detector.tick(now_ms)
-        actions += self.acceptor.check_confirmation(now_ms)
+        actions += self.acceptor.check_confirmation()
         actions += self.membership.tick(now_ms, self.connections)
         actions += self.proposals.expire(now_ms)
         actions += self.leases.tick(now_ms)
@@ -268,12 +269,17 @@
         while queue:
             action = queue.popleft()
             if not isinstance(action, Send) or action.to != self.name:
+                self._note_heartbeat(action)
                 others.append(action)
                 continue
             me = Peer(self.name, self.acceptor.state.disk_incarnation, self.process_incarnation)
             queue.extendleft(reversed(self._handle(now_ms, me, action.message)))
         return others
 
+    def _note_heartbeat(self, action: Action) -> None:
+        if isinstance(action, Send) and isinstance(action.message, Heartbeat):
+            self.acceptor.witnesses.on_heartbeat_sent(action.to, self.acceptor.reported_record)
+
     # State for operators.
 
     def describe(self, now_ms: float) -> Mapping[str, str]:
--- a/tests/membership_change_model.py
+++ b/tests/membership_change_model.py
@@ -44,6 +44,7 @@
 
 FORMER = MembershipConfig(1, (("a", "1"), ("b", "1"), ("c", "1")))
 FOLLOWING = MembershipConfig(2, (("a", "1"), ("b", "1"), ("c", "2")))
+EVERY_RECORD = 1_000_000  # a later one than any log here has
 ACCEPTORS = (("a", "1"), ("b", "1"), ("c", "1"), ("c", "2"))
 VARIANTS = (
     "votes on after sealing",
@@ -171,8 +172,13 @@
         state = RecoveredState("f", incarnation, disk.config, FOLLOWING if disk.has_stopped else None, 1)
         if disk.state != AcceptorState():
             state.registers[X] = disk.state
-        acceptor = Acceptor(name, state, 1, 0.0)
-        acceptor.is_confirmed = True
+        acceptor = Acceptor(name, state, 1)
+        acceptor.is_confirmed = acceptor.is_new_disk = True
+        for (
+            other,
+            _,
+        ) in ACCEPTORS:  # no disk loses a record here, so it does not matter who has heard of which
+            acceptor.witnesses.on_connected(other, EVERY_RECORD)
         if self.variant == "votes on after sealing" and isinstance(message, Prepare | Accept):
             state.next_config = None
         if self.variant == "votes before it has entered" and incarnation == "2":
--- a/tests/test_membership_change.py
+++ b/tests/test_membership_change.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from grebestack.consensus.acceptor import CONFIRMATION_GRACE_MS, Acceptor
+from grebestack.consensus.acceptor import Acceptor
 from grebestack.consensus.actions import Peer, ReplaceDisk, Send, Write
 from grebestack.consensus.messages import (
     Accept,
@@ -51,7 +51,7 @@
     state = RecoveredState()
     for record in (IncarnationStarted("f", "1", ROLL), ProcessStarted(1)):
         state.apply(record)
-    return Acceptor("a", state, last, 0.0)
+    return Acceptor("a", state, last)
 
 
 def hello(name: str, mark: int, incarnation: str = "1") -> Handshake:
@@ -60,8 +60,8 @@
 
 def confirmed_acceptor() -> Acceptor:
     mine = new_acceptor()
-    mine.on_handshake(0.0, hello("b", 5))
-    mine.on_handshake(0.0, hello("c", 0))
+    mine.on_handshake(hello("b", 5))
+    mine.on_handshake(hello("c", 0))
     assert mine.may_vote
     return mine
 
@@ -70,9 +70,11 @@
     mine = new_acceptor()
     mine.start()
     assert not mine.may_vote and not mine.on_message(B, Prepare(1, "x", Ballot(1, "b", 1)))
-    mine.on_handshake(10.0, hello("b", 5))
+    mine.on_handshake(hello("b", 5))
     assert not mine.may_vote  # c may have heard more
-    mine.check_confirmation(CONFIRMATION_GRACE_MS)
+    mine.check_confirmation()
+    assert not mine.may_vote  # it may still: of a vote that b has not heard of
+    mine.on_handshake(hello("c", 5))
     assert mine.may_vote
 
 
@@ -80,15 +82,15 @@
 def test_a_disk_that_has_lost_its_end_or_is_an_old_copy_is_doubted(last: int) -> None:
     mine = new_acceptor(last)
     mine.start()  # the record of the start must not make up for the lost one
-    assert any(isinstance(action, ReplaceDisk) for action in mine.on_handshake(10.0, hello("b", 5)))
+    assert any(isinstance(action, ReplaceDisk) for action in mine.on_handshake(hello("b", 5)))
     assert not mine.may_vote and "record 5" in mine.disk_fault
     assert not mine.on_message(B, EnterEpoch(MembershipConfig(2, ROLL.members), ())) and not mine.may_vote
 
 
 def test_a_mark_of_another_incarnation_says_nothing_of_this_disk() -> None:
     mine = new_acceptor()
-    mine.on_handshake(0.0, hello("b", 99, "another"))
-    mine.on_handshake(0.0, hello("c", 0))
+    mine.on_handshake(hello("b", 99, "another"))
+    mine.on_handshake(hello("c", 0))
     assert mine.may_vote
 
 
@@ -106,7 +108,7 @@
     mine.on_message(B, Accept(1, "x", Ballot(1, "b", 1), None))
     mine.on_disk_fault("EIO")
     assert not mine.on_synced(99) and not mine.on_message(B, Prepare(1, "x", Ballot(2, "b", 1)))
-    born = mine.on_disk_replaced("f", "2", ROLL, 50.0)
+    born = mine.on_disk_replaced("f", "2", ROLL)
     assert [type(action) for action in born] == [Write, Write]
     mine.on_synced(2)
     assert not mine.on_message(B, Prepare(1, "x", Ballot(2, "b", 1))) and not mine.on_message(
@@ -129,9 +131,10 @@
         == mine.state.register_entries()
         == (("x", Ballot(1, "b", 1), Ballot(1, "b", 1), None),)
     )
-    again = Acceptor("a", state, mine.last_record, 0.0)
-    again.is_confirmed = True
-    assert not again.may_vote
+    again = Acceptor("a", state, mine.last_record)
+    again.on_handshake(hello("b", 5))
+    again.on_handshake(hello("c", 5))
+    assert again.is_confirmed and not again.may_vote
     again.on_message(B, EnterEpoch(following, (("x", NO_BALLOT, NO_BALLOT, None),)))
     assert again.may_vote
 
