Keep the count of starts in a compacted log: a later start was refused by peers

What callers saw: after a restart a member was turned away with "a later start is connected" for as long as a peer held the connection of its former process (after a power cut, until heartbeats are missed).

Cause: a compacted log kept one start at most, and one that was begun anew after a disk fault began at one. The process incarnation, which begins with that count, fell.

Ruled out: relays and followers (their counter follows the clock, ConfigStore), the rolling restart (it compares incarnations for equality).

Change: the compacted record carries the count and the reader takes it, an older version's 0 counts as one start; a replaced log takes the count over.

--- a/grebestack/consensus/acceptor.py
+++ b/grebestack/consensus/acceptor.py
@@ -217,7 +217,11 @@
         return records
 
     def on_disk_replaced(self, cluster: str, disk_incarnation: str, config: MembershipConfig) -> list[Action]:
-        """Handle an empty log under a new disk incarnation. The membership is kept; votes are not."""
+        """Handle an empty log under a new disk incarnation.
+
+        The membership and the count of starts are kept; votes are not.
+        """
+        start_count = max(1, self.state.start_count)
         self.state = RecoveredState()
         self.last_record = self.synced_record = self.recovered_record = 0
         self.pending.clear()
@@ -227,7 +231,7 @@
         self.confirming_peers.clear()
         return [
             *self._write(IncarnationStarted(cluster, disk_incarnation, config)),
-            *self._write(ProcessStarted(1)),
+            *self._write(ProcessStarted(start_count)),
         ]
 
     # Confirmation of the disk.
--- a/grebestack/consensus/recovery.py
+++ b/grebestack/consensus/recovery.py
@@ -46,8 +46,8 @@
         self.next_config = record.next_config
 
     def _on_process_started(self, record: ProcessStarted) -> None:
-        # The records are counted; the count in them is not used.
-        self.start_count += 1
+        # A compacted log has one such record for all starts; older versions of the program wrote 0 in it.
+        self.start_count = max(self.start_count + 1, record.start_count)
 
     def _on_incarnation_started(self, record: IncarnationStarted) -> None:
         self.cluster, self.disk_incarnation = record.cluster, record.disk_incarnation
@@ -58,12 +58,10 @@
         return tuple((name, s.promised, s.accepted, s.value) for name, s in sorted(self.registers.items()))
 
     def compacted_records(self) -> list[LogRecord]:
-        """Return the shortest list of records from which the same registers and membership are recovered.
-
-        The count of starts is not kept: it is recovered as one at the most.
-        """
+        """Return the shortest list of records from which the same state is recovered."""
         records: list[LogRecord] = [IncarnationStarted(self.cluster, self.disk_incarnation, self.config)]
-        records += [ProcessStarted(0)] * min(self.start_count, 1)
+        if self.start_count:
+            records.append(ProcessStarted(self.start_count))
         records.append(EpochEntered(self.config, self.register_entries()))
         if self.next_config is not None:
             records.append(EpochEnded(self.next_config))
