Force the order of a request and a reset in the test of an idle connection

What was seen: test_an_order_that_meets_the_servers_close_of_an_idle_connection_runs_once failed once beside load: `connect_failed` never came to 1. No caller saw anything: the dispatcher is right either way.

Cause: the test wrote an order and reset the idle connection in one turn and took it that the order is read first. Where the reset is seen first, the order goes on a new connection to the same worker.

Ruled out: a mend in the product; the three orders below pass on too.

Change: the test is replaced by three that force what it left to the system: a reset that lies unread as the order is written (reading is paused, and the connection's state asked of the system), one while the order's last byte is held back, and one seen before. The first two assert all that the old one did.

--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, cast
+import socket
+from typing import Any, NamedTuple, cast
 
 import pytest
 
@@ -11,8 +12,9 @@
 from grebestack.core.api import Outcome
 from grebestack.routing.requests import Stage as Progress
 from grebestack.transport import client as transport
-from tests.loop_dispatcher import Stage, play
+from tests.loop_dispatcher import SOON_S, Client, Peer, Stage, play
 
+TCP_CLOSED = 7  # as the system numbers the states of a connection
 TAKEN = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -121,24 +123,91 @@
     play(test, servers=2, retry_window_ms=300.0)
 
 
-def test_an_order_that_meets_the_servers_close_of_an_idle_connection_runs_once() -> None:
+class IdleConnection(NamedTuple):
+    """A kept connection to the first server, at rest; only that server is listed as ready."""
+
+    warm: Client
+    caller: Client
+    peer: Peer
+    other: Peer
+    transport: asyncio.Transport
+
+
+async def idle_connection(stage: Stage) -> IdleConnection:
+    warm, caller, (peer, other) = stage.client(), stage.client(), stage.peers
+    stage.listed(["Ready", "Terminating"])
+    warm.order("warm")
+    await stage.until(lambda: peer.whole())
+    peer.say(0, TAKEN)
+    await stage.until(lambda: any(pool.idle for pool in stage.pools.pools.values()))
+    stage.call_back("warm", "s0", result="r")
+    await asyncio.sleep(2 * transport.REST_S)
+    ((kept,),) = [pool.idle for pool in stage.pools.pools.values() if pool.idle]
+    assert kept.transport is not None
+    return IdleConnection(warm, caller, peer, other, kept.transport)
+
+
+def is_reset(connection: asyncio.Transport) -> bool:
+    """Whether the system has a connection down as ended, be that read or not."""
+    info = connection.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return bool(info[0] == TCP_CLOSED)
+
+
+async def assert_runs_at_the_other_server(stage: Stage, idle: IdleConnection) -> None:
+    """The order is known not to have run at the first server, and runs once."""
+    await stage.until(lambda: stage.engine.counts["connect_failed"] == 1)
+    stage.listed(["Ready", "Ready"])
+    await stage.until(lambda: idle.other.whole())
+    stage.call_back("a", "s1", result="r")
+    await stage.until(lambda: idle.caller.status == 200)
+    assert len(idle.peer.whole()) == 1 and stage.engine.counts["dispatches"] == 3
+    assert len(idle.other.whole()) == 1
+
+
+def test_an_order_written_to_an_idle_connection_that_its_server_has_reset_runs_once() -> None:
+    # Guards against an order counted as perhaps run: the reset lies unread while the order is written.
     async def test(stage: Stage) -> None:
-        warm, caller, (peer, other) = stage.client(), stage.client(), stage.peers
-        stage.listed(["Ready", "Terminating"])
-        warm.order("warm")
-        await stage.until(lambda: peer.whole())
-        peer.say(0, TAKEN)
-        await stage.until(lambda: any(pool.idle for pool in stage.pools.pools.values()))
-        stage.call_back("warm", "s0", result="r")
-        await asyncio.sleep(2 * transport.REST_S)
-        caller.order("a", "order")
-        peer.reset(0)  # before the loop turns: the order goes to a connection that is dead
-        await stage.until(lambda: stage.engine.counts["connect_failed"] == 1)
+        idle = await idle_connection(stage)
+        idle.transport.pause_reading()
+        idle.peer.reset(0)
+        await stage.until(lambda: is_reset(idle.transport))
+        idle.caller.order("a", "order")
+        await assert_runs_at_the_other_server(stage, idle)
+
+    play(test, servers=2)
+
+
+def test_an_order_whose_idle_connection_is_reset_before_its_last_byte_runs_once() -> None:
+    # Guards against an order counted as perhaps run: the reset comes while the last byte is held back.
+    async def test(stage: Stage) -> None:
+        idle = await idle_connection(stage)
+        (pool,) = [pool for pool in stage.pools.pools.values() if pool.idle]
+        pool.round_trip_s = 2 * SOON_S  # the last byte waits for longer than this test
+        idle.caller.order("a", "order")
+        await stage.until(lambda: any(b"X-Call-Id: a" in data for data in idle.peer.whole()))
+        idle.peer.reset(0)
+        pool.round_trip_s = transport.HOLD_S
+        await assert_runs_at_the_other_server(stage, idle)
+
+    play(test, servers=2)
+
+
+def test_an_order_that_comes_after_its_idle_connection_was_seen_reset_runs_once_on_a_new_one() -> None:
+    # Guards against an order that is lost with a connection which is known to have ended.
+    async def test(stage: Stage) -> None:
+        idle = await idle_connection(stage)
+        idle.peer.reset(0)
+        await stage.until(lambda: not any(pool.all for pool in stage.pools.pools.values()))
+        idle.caller.order("a", "order")
+        await stage.until(lambda: any(b"X-Call-Id: a" in data for data in idle.peer.whole()))
         stage.listed(["Ready", "Ready"])
-        await stage.until(lambda: other.whole())
-        stage.call_back("a", "s1", result="r")
-        await stage.until(lambda: caller.status == 200)
-        assert len(peer.whole()) == 1 and stage.engine.counts["dispatches"] == 3
+        await stage.until(lambda: idle.peer.whole()[-1].endswith(b"body"))
+        idle.peer.say(1, TAKEN)
+        stage.call_back("a", "s0", result="r")
+        await stage.until(lambda: idle.caller.status == 200)
+        await stage.turns()
+        assert len(idle.peer.whole()) == 2 and not idle.other.whole()
+        assert stage.engine.counts["connect_failed"] == 0 and stage.engine.counts["dispatches"] == 2
 
     play(test, servers=2)
 
