Reserve the ports of tests: a program found its own taken by another test

What was seen: test_an_operator_sees_submits_cancels_and_drains failed once with eight workers, and the program ended at its start.

Cause: free_port chose a port that was free and let it go; until the program listened on it, the system could give it to a stand-in of another test that asks for any port, or free_port to another test.

Evidence: by reading, and by tests/test_ports.py: the system's range holds the ports of free_port, and two processes could be given one. The failure itself was not provoked again.

Ruled out: another try after a failed start, which would hide a program that can't listen.

Change: tests/ports.py, in place of free_port (twice) and quiet_port (twice): outside the system's range, and reserved by a name that one process on the machine can hold.

--- a/benchmarks/alone.py
+++ b/benchmarks/alone.py
@@ -23,7 +23,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from tests.cluster import Cluster, quiet_port  # noqa: E402
+from tests.cluster import Cluster  # noqa: E402
+from tests.ports import reserved_port  # noqa: E402
 
 AIMS = {
     "p99_ratio": ("<=", 1.1),
@@ -101,7 +102,7 @@
 async def measure(quick: bool, seed: int) -> dict[str, float]:
     """Play and count."""
     runs: Counter[str] = Counter()
-    fronts = tuple(quiet_port() for _ in range(3))
+    fronts = tuple(reserved_port() for _ in range(3))
     servers = {}
     for n, front in enumerate(fronts):
         lines = []
--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -13,7 +13,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -23,6 +22,9 @@
 
 from harness import conclude, percentile
 
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from tests.ports import reserved_port  # noqa: E402
+
 RUNNERS, SLOTS, RUN_S = 4, 4, 0.25
 CAPACITY_PER_S = RUNNERS * SLOTS / RUN_S
 FLOOD, WAITING = 1.5, 0.06
@@ -233,14 +235,6 @@
         return infos
 
 
-def free_port() -> int:
-    """A port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 async def ready(front: int) -> None:
     """Wait until the program takes jobs."""
     for _ in range(500):
@@ -255,7 +249,7 @@
 
 async def play(seconds: float, seed: int, waiting: bool) -> dict[str, float]:
     """One flood against a program that is started for it."""
-    front, drmaa, runs = free_port(), free_port(), Counter[str]()
+    front, drmaa, runs = reserved_port(), reserved_port(), Counter[str]()
     lines = []
     for n in range(RUNNERS):
         port = await Runner(f"r-{n}", front, runs).start()
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -24,7 +24,7 @@
 from typing import Any
 
 import uvloop
-from flood import FILE, Peer, free_port, read_message, ready
+from flood import FILE, Peer, read_message, ready
 from harness import conclude, percentile
 
 from grebestack.consul.agents import Agents, AgentSettings
@@ -36,6 +36,7 @@
 from grebestack.routing.engine import Engine
 from grebestack.routing.worker_table import ServerTable
 from grebestack.transport.client import Response
+from tests.ports import reserved_port
 
 AIMS = {
     "flip_p99_ms": ("<=", 100.0),
@@ -154,7 +155,7 @@
 
 async def flips(count: int, seed: int) -> dict[str, float]:
     """One runner turns critical, again and again, under load; how long new work still reaches it."""
-    front, drmaa, agent = free_port(), free_port(), Agent()
+    front, drmaa, agent = reserved_port(), reserved_port(), Agent()
     runners = [Runner(f"r-{n}", front) for n in range(2)]
     ports = [await runner.start() for runner in runners]
     statuses = ["passing", "passing"]
--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -25,9 +25,11 @@
 from typing import Any
 
 import uvloop
-from flood import Peer, Runner, free_port
+from flood import Peer, Runner
 from harness import conclude, percentile
 
+from tests.ports import reserved_port
+
 AIMS = {
     "door_max_ms": ("<=", 1000.0),
     "door_p99_ms": ("<=", 100.0),
@@ -117,7 +119,7 @@
 
     def __init__(self, folder: str, seed: int) -> None:
         self.folder, self.random = Path(folder), random.Random(seed)
-        self.front, self.runs = free_port(), Counter[str]()
+        self.front, self.runs = reserved_port(), Counter[str]()
         self.held = socket.create_server(("127.0.0.1", self.front), backlog=512)
         self.runners = [Watched(f"r-{n}", self.front, self.runs) for n in range(RUNNERS)]
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -142,7 +144,7 @@
 
     async def start(self) -> tuple[int, float]:
         """Start a process beside what runs; its door, and milliseconds until it says that it is ready."""
-        door, began = free_port(), time.monotonic()
+        door, began = reserved_port(), time.monotonic()
         environ = {
             "RELAY_NAME": "n0",
             "RELAY_CONFIG": str(self.folder / "config.json"),
--- a/benchmarks/scaling/fleet.py
+++ b/benchmarks/scaling/fleet.py
@@ -22,9 +22,9 @@
 
 from grebestack.audit.version_sets import digest
 from scaling.checker import Acted, Asked, Away, History, Life, Split
-from scaling.ports import quiet_port
 from scaling.processes import Processes
 from tests.cluster import Proxy
+from tests.ports import reserved_port
 from tests.standins import APPLIANCE_SETTINGS, answers, say
 
 ZONES = ("east/a1", "east/a2", "east/a3", "east/a4", "west/b1", "west/b2", "west/b3")
@@ -139,8 +139,8 @@
         self.asked: list[Asked] = []
         self.mark, self.guard = 0, threading.Lock()
         self.expected: dict[str, tuple[str, str]] = {}
-        self.mesh = {name: quiet_port() for name in VOTERS}
-        self.feed = {name: quiet_port() for name in (*VOTERS, *RELAYS)}
+        self.mesh = {name: reserved_port() for name in VOTERS}
+        self.feed = {name: reserved_port() for name in (*VOTERS, *RELAYS)}
         places = VOTERS | RELAYS
         self.gates: dict[tuple[str, str, str], int] = {}
         for kind, ports in (("mesh", self.mesh), ("feed", self.feed)):
@@ -177,11 +177,11 @@
         return f"[fleet.relays]\n{lines}"
 
     def _file(self, name: str, role: str, place: str, tables: str, more: str = "") -> None:
-        door, path = ("127.0.0.1", quiet_port()), self.folder / f"{name}.toml"
+        door, path = ("127.0.0.1", reserved_port()), self.folder / f"{name}.toml"
         said = f'place = "{place}"\n' if role in ("relay", "real") else ""
         head = f'[fleet]\nname = "scale"\nfolder = "{name}-disk"\n{said}{more}' if tables else ""
         path.write_text(
-            f'name = "{name}"\nlisten = "127.0.0.1:{quiet_port()}"\ncontrol = "127.0.0.1:{door[1]}"\n'
+            f'name = "{name}"\nlisten = "127.0.0.1:{reserved_port()}"\ncontrol = "127.0.0.1:{door[1]}"\n'
             f'[servers]\nsource = "list"\nlist = []\n{head}{tables}{APPLIANCE_SETTINGS}'
         )
         self.places[name] = Place(name, role, place, door, ["grebestack", "--config", str(path)])
--- a/benchmarks/scaling/members.py
+++ b/benchmarks/scaling/members.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 from scaling.fits import Line, fit
-from scaling.ports import quiet_port
 from scaling.processes import Lateness, Processes, Rates, machine, mean
+from tests.ports import reserved_port
 from tests.standins import APPLIANCE_SETTINGS, answers, say
 
 LIMITS = {"cpu_share": 0.027, "memory_mb": 128.0, "bytes_s": 7000.0}
@@ -19,12 +19,12 @@
 def _files(folder: Path, count: int) -> dict[str, tuple[str, int]]:
     """A file for each member; where each one's door is. One member is a dispatcher without a fleet."""
     names = [f"m{n:02}" for n in range(count)]
-    doors = {name: ("127.0.0.1", quiet_port()) for name in names}
-    members = "".join(f'{name} = "127.0.0.1:{quiet_port()}"\n' for name in names)
+    doors = {name: ("127.0.0.1", reserved_port()) for name in names}
+    members = "".join(f'{name} = "127.0.0.1:{reserved_port()}"\n' for name in names)
     fleet = f'[fleet]\nname = "scale"\nfolder = "%s-disk"\n[fleet.members]\n{members}'
     for name, door in doors.items():
         (folder / f"{name}.toml").write_text(
-            f'name = "{name}"\nlisten = "127.0.0.1:{quiet_port()}"\ncontrol = "127.0.0.1:{door[1]}"\n'
+            f'name = "{name}"\nlisten = "127.0.0.1:{reserved_port()}"\ncontrol = "127.0.0.1:{door[1]}"\n'
             f'[servers]\nsource = "list"\nlist = []\n{fleet % name if count > 1 else ""}{APPLIANCE_SETTINGS}'
         )
     return doors
--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -21,7 +21,6 @@
 from pathlib import Path
 from typing import Any
 
-from flood import free_port
 from harness import Counting, Fleet, Machines, SimClock, conclude
 
 from grebestack.core import api
@@ -29,6 +28,9 @@
 from grebestack.protocol.lists import ListReader, Objects
 from grebestack.routing.worker_table import ServerTable
 
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from tests.ports import reserved_port  # noqa: E402
+
 SIZES = (10, 100, 1024)
 SLOTS, RUN_MS, LOAD = 8, 500.0, 0.6
 PIECE = 1400
@@ -89,7 +91,7 @@
     environ = dict(os.environ) | {
         "RELAY_NAME": "n0",
         "RELAY_CONFIG": str(config),
-        "RELAY_LISTEN": f"127.0.0.1:{free_port()}",
+        "RELAY_LISTEN": f"127.0.0.1:{reserved_port()}",
         "RELAY_DISCOVERY": f"127.0.0.1:{port}",
     }
     began = time.monotonic()
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -71,7 +71,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from tests.cluster import Cluster, quiet_port  # noqa: E402
+from tests.cluster import Cluster  # noqa: E402
+from tests.ports import reserved_port  # noqa: E402
 
 OUT = Path(__file__).resolve().parent / "figures" / "slopes.json"
 Points = Mapping[Any, list[float]]
@@ -347,7 +348,7 @@
         self.servers, self.folder, self.front, self.dispatcher_count = (
             servers,
             folder,
-            quiet_port(),
+            reserved_port(),
             dispatcher_count,
         )
         self.idle: list[Peer] = []
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -14,12 +14,10 @@
 import shlex
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import threading
 import time
-from collections import deque
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -27,37 +25,12 @@
 
 from grebestack.consensus.lease import Fence
 from tests.cluster_member import TASKS
+from tests.ports import reserved_port
 from tests.standins import APPLIANCE_SETTINGS, StandIn, say
 
 ROOT = Path(__file__).resolve().parent.parent
 
 
-TAKEN: deque[socket.socket] = deque()  # a name for each port given out lately, which goes with this process
-MOST_TAKEN = 300
-
-
-def quiet_port() -> int:
-    """A free port that the system gives to no outgoing connection: a member that restarts finds it free.
-
-    It is given out once, to whichever process on this machine asks for one: two rigs side by side had members
-    that found theirs taken.
-    """
-    for port in random.SystemRandom().sample(range(12_000, 32_000), 100):
-        name = socket.socket(socket.AF_UNIX)
-        try:
-            name.bind(f"\0grebestack quiet port {port}")
-            with socket.create_server(("127.0.0.1", port)):
-                pass
-        except OSError:
-            name.close()
-            continue
-        TAKEN.append(name)
-        if len(TAKEN) > MOST_TAKEN:
-            TAKEN.popleft().close()
-        return port
-    raise OSError("no port is free")
-
-
 class Act(NamedTuple):
     """One export as the collector met it."""
 
@@ -226,14 +199,14 @@
         self.folder, self.collector, self.proxy = folder, Collector(), Proxy()
         self.names = [f"m{n}" for n in range(count)]
         drift = list(rates) or [1.0] * count
-        ports = {name: quiet_port() for name in self.names}
+        ports = {name: reserved_port() for name in self.names}
         seen: dict[str, dict[str, int]] = {name: {} for name in self.names}
         for n, a in enumerate(self.names):
             for b in self.names[n + 1 :]:  # of two members the first by name calls the other
                 seen[a][b], seen[b][a] = self.proxy.link(a, b, ports[b]), ports[a]
         self.members: dict[str, Process] = {}
         for n, name in enumerate(self.names):
-            door, front = ("127.0.0.1", quiet_port()), fronts[n] if fronts else quiet_port()
+            door, front = ("127.0.0.1", reserved_port()), fronts[n] if fronts else reserved_port()
             self.members[name] = Process(name, folder / name, door, front, drift[n])
             source = servers if isinstance(servers, str) else servers[name]
             (folder / name).mkdir()
--- a/tests/dispatcher_group.py
+++ b/tests/dispatcher_group.py
@@ -21,7 +21,8 @@
 from pathlib import Path
 from typing import Any
 
-from tests.standins import OPTIONS, free_port, wait_until
+from tests.ports import reserved_port
+from tests.standins import OPTIONS, wait_until
 
 GRACE_S, SLACK_S, SILENT_S, MOVED_S = 0.25, 0.05, 6.0, 4.0  # the settings' grace, and the page's figures
 
@@ -74,9 +75,9 @@
         self.told: dict[tuple[str, str], float] = {}
         self.stamps: list[tuple[str, str, str]] = []  # job, server, and the stamp that it came under
         self.changes: list[tuple[str, str]] = []  # the registry: server and state
-        ports = [free_port() for _ in range(runners // each)]  # one listener may stand for several
+        ports = [reserved_port() for _ in range(runners // each)]  # one listener may stand for several
         self.runners = {f"s-{n}": ports[n % len(ports)] for n in range(runners)}
-        self.fronts = {name: ("127.0.0.1", free_port()) for name in self.names}
+        self.fronts = {name: ("127.0.0.1", reserved_port()) for name in self.names}
         self.agents: dict[str, Agent] = {}
         self.ports: dict[str, int] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -119,7 +120,7 @@
         agent = self.agents[name] = Agent(name, keeps)
         if former is not None:
             agent.has = former.has
-        self.ports[name] = free_port()
+        self.ports[name] = reserved_port()
         self.call(asyncio.start_server(self._watch(agent), "127.0.0.1", self.ports[name]))
 
     def _watch(self, agent: Agent) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]:
--- a/tests/follower_cluster.py
+++ b/tests/follower_cluster.py
@@ -21,7 +21,8 @@
 from grebestack.audit.version_sets import digest
 from grebestack.cluster_io.runtime import monotonic_ms
 from grebestack.config_distribution.versions import digest_of
-from tests.cluster import Cluster, Process, Way, quiet_port
+from tests.cluster import Cluster, Process, Way
+from tests.ports import reserved_port
 from tests.standins import APPLIANCE_SETTINGS, say
 
 BOUND_MS = 9000.0
@@ -150,13 +151,13 @@
         self.voters = list(self.names)
         self.relays = [*self.voters, *(f"r{n}" for n in range(relays))]
         self.followers = [f"f{n}" for n in range(followers)]
-        self.feeds = {name: quiet_port() for name in self.relays}
+        self.feeds = {name: reserved_port() for name in self.relays}
         self.asked: dict[str, Asked] = {}
         self.judged = InForce()
         self.starts: dict[str, list[float]] = {}
         self.number = 0
         for name in [*self.relays[voters:], *self.followers]:
-            door, front = ("127.0.0.1", quiet_port()), quiet_port()
+            door, front = ("127.0.0.1", reserved_port()), reserved_port()
             self.members[name] = Process(name, folder / name, door, front, 1.0)
             (folder / name).mkdir()
             known = "".join(f'{voter} = "127.0.0.1:{n + 1}"\n' for n, voter in enumerate(self.voters))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -16,6 +16,8 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from tests.ports import reserved_port
+
 T = TypeVar("T")
 Address = tuple[str, int]
 Answer = tuple[int, dict[str, str], bytes]
@@ -299,8 +301,8 @@
         self.runners: list[Runner] = []
         self.discovery = Discovery(self)
         self.source: Any = self.discovery
-        self.front: Address = ("127.0.0.1", free_port())
-        self.door: Address = ("127.0.0.1", free_port())
+        self.front: Address = ("127.0.0.1", reserved_port())
+        self.door: Address = ("127.0.0.1", reserved_port())
         self.processes: list[subprocess.Popen[bytes]] = []
         self.known: dict[str, Any] = {}  # the list that a dispatcher holds at its start
         self.held: socket.socket | None = None  # the clients' listening socket, where the platform holds it
@@ -344,7 +346,7 @@
         if self.held is None:
             self.held = socket.create_server(self.front, backlog=256)
             (self.folder / "config.json").write_text(json.dumps(CONFIG))
-        door = door or ("127.0.0.1", free_port())
+        door = door or ("127.0.0.1", reserved_port())
         environ = {
             "RELAY_NAME": "n0",
             "RELAY_CONFIG": str(self.folder / "config.json"),
@@ -380,7 +382,7 @@
     ) -> Address:
         """Start the dispatcher from an operator's file; returns the DRMAA front's address."""
         if not hasattr(self, "drmaa"):
-            self.drmaa: Address = ("127.0.0.1", free_port())
+            self.drmaa: Address = ("127.0.0.1", reserved_port())
         path = self.folder / "appliance.toml"
         path.write_text(
             f"""
@@ -428,11 +430,3 @@
             self.held.close()
         for stand_in in {self.discovery, self.source, *self.runners}:
             stand_in.close()
-
-
-def free_port() -> int:
-    """A port that the system gave out just now and nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -19,7 +19,8 @@
 from grebestack.core.api import ListKind, WorkerEntry, WorkerState
 from grebestack.program.lifecycle import QUIESCE_DRAIN_MS, QUIESCE_KEEP_MS, ClientHandling, Lifecycle, Stage
 from grebestack.routing.worker_table import Server, ServerTable
-from tests.standins import World, call, free_port, say, wait_until
+from tests.ports import reserved_port
+from tests.standins import World, call, say, wait_until
 
 LINES = st.sampled_from(
     [
@@ -149,7 +150,7 @@
         ([door, "health"], 0, "SUCCESS ready"),
         ([door, "cordon", "nobody"], 1, "FAILURE 'nobody'"),
         (["nowhere", "health"], 2, "is no HOST:PORT"),
-        ([f"127.0.0.1:{free_port()}", "health"], 3, "refused"),
+        ([f"127.0.0.1:{reserved_port()}", "health"], 3, "refused"),
     ):
         command = [sys.executable, "-m", "grebestack", "say", *words]
         result = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,7 +7,8 @@
 import subprocess
 import sys
 
-from tests.standins import World, free_port, wait_until
+from tests.ports import reserved_port
+from tests.standins import World, wait_until
 
 
 def console(world: World, *words: str) -> subprocess.CompletedProcess[str]:
@@ -56,15 +57,15 @@
     assert console(world, "submit", "order").returncode == 0
     later = console(world, "submit", "order")
     assert (later.returncode, "TRY_LATER" in later.stderr) == (4, True)
-    world.drmaa = ("127.0.0.1", free_port())
+    world.drmaa = ("127.0.0.1", reserved_port())
     gone = console(world, "status")
     assert (gone.returncode, gone.stderr.count("\n")) == (3, 1)
 
 
 def test_the_console_shows_the_fleet_and_who_holds_its_tasks(world: World) -> None:
-    folder, collector = world.folder / "fleet", free_port()
+    folder, collector = world.folder / "fleet", reserved_port()
     settings = (
-        f'[fleet]\nterm_s = 1.0\n[fleet.members]\ngrebestack = "127.0.0.1:{free_port()}"\n'
+        f'[fleet]\nterm_s = 1.0\n[fleet.members]\ngrebestack = "127.0.0.1:{reserved_port()}"\n'
         f'[fleet.tallies]\ncollector = "127.0.0.1:{collector}"\n'
     )
     world.start_appliance()
