Answer before the kill what is due after it: requests of long deadlines were cut

What callers saw: in a planned stop with a worker that hung throughout, the connections of requests with deadlines of 5 or 10 s were cut by the kill, 3.7 s after SIGTERM.

Cause: only requests that came more than 0.65 s after SIGTERM were to be answered before the kill; all others kept their own deadlines.

Ruled out: a shorter deadline for all requests: one that is due before the kill keeps it. Jobs of a store are left alone, they outlive the process. A successor is still told the client's own deadline.

Change: as a stop begins, requests due after the kill are answered 0.2 s before it, open ones and those that come later (PlatformFront.expect_kill). The module is told (DeadlineShortened) and answers as ever: rejected where a retry is harmless, failed where an order may have run.

--- a/grebestack/core/events.py
+++ b/grebestack/core/events.py
@@ -145,6 +145,14 @@
     request: int
 
 
+@dataclass(frozen=True, slots=True)
+class DeadlineShortened:
+    """A request must be answered earlier than was said at its arrival: this dispatcher is stopping."""
+
+    request: int
+    deadline_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer set by `SetTimer` is due."""
@@ -171,6 +179,7 @@
     | StreamStarted
     | AttemptEnded
     | RequestDropped
+    | DeadlineShortened
     | TimerFired
     | ProbeEnded
 )
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from grebestack.core import api
 from grebestack.core.admission import AdmissionControl
@@ -56,6 +57,7 @@
             api.StreamStarted: self._on_attempt_started,
             api.AttemptEnded: self._on_attempt_ended,
             api.RequestDropped: self._on_request_dropped,
+            api.DeadlineShortened: self._on_deadline_shortened,
             api.TimerFired: self._on_timer_fired,
             api.ProbeEnded: self._on_load_report,
             api.AttemptProgress: self._on_attempt_progress,
@@ -172,8 +174,7 @@
         self.requests[event.request] = request
         value = job_class.priority_weight * request.value_units(context.settings)
         context.estimates.on_arrival(event.job_class, event.slots, value)
-        # One tick of margin: the answer must be out by the deadline.
-        self.timers.add(event.deadline_ms - context.settings.tick_ms, self._give_up, request)
+        self._give_up_at_deadline(request)
         if self.queue.heads(request.queue_key, 1):
             self._enqueue(request)
         else:
@@ -183,6 +184,17 @@
         if (request := self.requests.get(event.request)) and not request.is_closed:
             self._close(request)
 
+    def _on_deadline_shortened(self, event: api.DeadlineShortened) -> None:
+        request = self.requests.get(event.request)
+        if request is None or request.is_closed or event.deadline_ms >= request.arrival.deadline_ms:
+            return
+        request.arrival = replace(request.arrival, deadline_ms=event.deadline_ms)
+        self._give_up_at_deadline(request)
+
+    def _give_up_at_deadline(self, request: Request) -> None:
+        """Answer a request a tick before its deadline, by which the answer must be out."""
+        self.timers.add(request.arrival.deadline_ms - self.settings.tick_ms, self._give_up, request)
+
     def _place(self, request: Request) -> None:
         """Send a request to a valid worker, queue it, or answer it if it cannot be sent any more."""
         if not may_send(request, self.context.now_ms, self.settings):
--- a/grebestack/program/lifecycle.py
+++ b/grebestack/program/lifecycle.py
@@ -11,7 +11,7 @@
 
 KILL_MS = 700.0  # after SIGTERM the kill comes no sooner than this and the longest deadline
 KILL_DEADLINE_MS = 3000.0  # a longer deadline counts as this much
-KILL_MARGIN_MS = 200.0  # between the answers to late requests and the kill
+KILL_MARGIN_MS = 200.0  # between the last answers and the kill
 LATE_MS = 650.0  # a request is late when it arrives longer than this after SIGTERM
 STOP_KEEP_FRACTION = 0.45  # of the longest deadline, for which a stop keeps clients' connections
 STOP_DRAIN_MS = 200.0  # a request may cross the close of its connection
@@ -113,6 +113,10 @@
             return ClientHandling.DRAIN, drain_until
         return ClientHandling.REJECT, math.inf
 
+    def kill_ms(self, longest_deadline_ms: float) -> float:
+        """Return when the kill comes at the earliest, in a stop."""
+        return self.since_ms + KILL_MS + min(longest_deadline_ms, KILL_DEADLINE_MS)
+
     def late_answer_deadline_ms(self, longest_deadline_ms: float) -> float:
-        """Return by when a request that arrived late in a stop is answered: before the kill."""
-        return self.since_ms + KILL_MS + min(longest_deadline_ms, KILL_DEADLINE_MS) - KILL_MARGIN_MS
+        """Return by when a request that the kill would cut off is answered."""
+        return self.kill_ms(longest_deadline_ms) - KILL_MARGIN_MS
--- a/grebestack/program/lifecycle_control.py
+++ b/grebestack/program/lifecycle_control.py
@@ -85,7 +85,9 @@
         if dispatcher.fleet is not None:
             dispatcher.fleet.release_leases()
         log.info("stopping", extra={"kv": {"open": len(dispatcher.engine.open_by_call_id)}})
-        deadline_ms = dispatcher.lifecycle.late_answer_deadline_ms(self._longest_deadline_ms())
+        longest_ms = self._longest_deadline_ms()
+        deadline_ms = dispatcher.lifecycle.late_answer_deadline_ms(longest_ms)
+        dispatcher.front.expect_kill(dispatcher.lifecycle.kill_ms(longest_ms), deadline_ms)
         dispatcher.loop.call_later(LATE_MS / 1000.0, dispatcher.front.end_by, deadline_ms)
         if dispatcher.upgrade is not None:
             handover_s = max(0.0, (deadline_ms - now_ms) / 1000.0 - _HANDOVER_BEFORE_DEADLINE_S)
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -59,7 +59,8 @@
         self.quiet_until_ms = 0.0
         self.ready = False
         self.leaving = False  # a planned stop has begun: no new connection reaches this dispatcher soon
-        self.until_ms = math.inf  # a planned stop: the kill finds what is open after this
+        self.until_ms = math.inf  # a planned stop: jobs that come now are answered by then
+        self.kill_ms = self.answer_by_ms = math.inf  # jobs due after the kill are answered by then before it
         self.closing = False  # no job is taken any more
 
     def resettle(self, settings: Settings) -> None:
@@ -74,6 +75,24 @@
         """From now on a job's answer is due by then at the latest."""
         self.until_ms = until_ms
 
+    def expect_kill(self, kill_ms: float, answer_by_ms: float) -> None:
+        """Answer all jobs before this process is killed, those that are open too.
+
+        A job whose deadline is earlier keeps it.
+        """
+        self.kill_ms, self.answer_by_ms = kill_ms, answer_by_ms
+        for session in self.engine.open_sessions():
+            is_own = isinstance(session.frontend, Answer) and session.frontend.front is self
+            if is_own and session.asked.deadline_ms > kill_ms:
+                self.engine.answer_by(session, answer_by_ms)
+
+    def _deadline_ms(self, limit_ms: float) -> float:
+        """Return the deadline of a job that has come now and may take so long."""
+        deadline_ms = self.engine.clock.now_ms() + limit_ms - MARGIN_MS
+        if deadline_ms > self.kill_ms:
+            deadline_ms = self.answer_by_ms
+        return min(deadline_ms, self.until_ms)
+
     # The transport's handler.
 
     def request(self, connection: Connection, request: Request) -> None:
@@ -152,7 +171,7 @@
             call_id.decode("latin-1"),
             Payload(head, request.body),
             index,
-            min(self.engine.clock.now_ms() + min(budget_ms, deadline_ms) - MARGIN_MS, self.until_ms),
+            self._deadline_ms(min(budget_ms, deadline_ms)),
             slots=slots,
             memory=memory,
             key=key_of(headers.get(b"x-route-hash")),
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -91,6 +91,15 @@
                     self.servers.give_up(dispatch)
                     self.settle(dispatch, api.Outcome.CANCELLED)
 
+    def answer_by(self, session: Session, deadline_ms: float) -> None:
+        """Answer a session by an earlier deadline than its own, which a successor would still go by."""
+        if session.closed or deadline_ms >= session.asked.deadline_ms:
+            return
+        if session.timer is not None:
+            session.timer.cancel()
+        session.timer = self.clock.call_at(deadline_ms, partial(self._overdue, session))
+        self._feed(api.DeadlineShortened(session.number, deadline_ms))
+
     def withdraw(self, session: Session) -> bool:
         """Take a session back that no server has been sent; False if one may have it. It gets no answer."""
         if session.may_have_run or not self._close(session):
