Send keyed and safe jobs again after a crash: some were FAILED though nothing was sent

What callers saw: after a crash of an appliance a keyed job ended FAILED, "it has perhaps run", though no worker had been sent it.

Cause: an attempt is recorded before its first byte; a crash in between leaves the record of an attempt whose answer may be lost, and such a job was only waited for.

Ruled out: recording the attempt later, which could run an order twice.

Change: where a repeat is harmless, the worker is told that the job is given up, and once it has answered the job takes its turn again: a safe one whenever, a keyed one while its window lasts, counted from the first attempt, within the allowed attempts (jobs/earlier_attempts.py). Orders, keys of a zone or cell, and workers that do not answer are left as they were.

--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -226,6 +226,10 @@
     def cancel_at(self, server: str, call_id: str, taken: Callable[[], None]) -> None:
         """Nothing of before a restart runs here."""
 
+    def give_up_at(self, server: str, call_id: str, heard: Callable[[], None]) -> bool:
+        """Nothing of before a restart runs here."""
+        return True
+
 
 class Counting:
     """A frontend that counts its sessions' ends over a fleet."""
--- a/benchmarks/waiting.py
+++ b/benchmarks/waiting.py
@@ -280,6 +280,10 @@
 
     cancel_at = adopt
 
+    def give_up_at(self, *_: object) -> bool:
+        """Nothing runs since before a restart."""
+        return True
+
 
 async def in_numbers(path: str, count: int, due: int, seconds: float) -> dict[str, float]:
     """A store with so many waiting jobs: its restoration, and how late those are let in that fall due."""
--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -8,6 +8,7 @@
 
 import gc
 import logging
+import math
 import sqlite3
 import time
 import uuid
@@ -22,6 +23,7 @@
 from grebestack.job_queue import interface as room_api
 from grebestack.job_queue.interface import Cause, Condition, Edge, Spec, Stage
 from grebestack.job_queue.job_queue import Room
+from grebestack.jobs.earlier_attempts import EarlierAttempts, RetryLimit, retry_limit
 from grebestack.jobs.records import (
     NO_DEADLINE,
     Batch,
@@ -45,6 +47,7 @@
 WALL_MS = 1000.0  # the wall clock is read at least so often: it may be set while jobs wait
 NOTES_MS = 100.0  # what nothing hangs on is recorded together, so long after the first of it
 SERVERS_MS = 5.0  # changes of the server table are looked at together, so long after the first
+ASK_BACK_AGAIN_MS = 100.0  # between looks whether the server of a job of before a restart is listed
 SLICE = 100  # jobs of a submission that are recorded at a time: the loop goes on between
 PRIORITY_DOUBLES = 50.0  # so much more priority halves the wanted time
 
@@ -58,6 +61,9 @@
     def cancel_at(self, server: str, call_id: str, taken: Callable[[], None]) -> None:
         """Ask a server to give a job up."""
 
+    def give_up_at(self, server: str, call_id: str, heard: Callable[[], None]) -> bool:
+        """Tell a server that a job is not waited for; False if the server is not known."""
+
 
 class Ticket:
     """One job that is in the engine, or may run since before a restart; the engine's frontend for it."""
@@ -69,10 +75,18 @@
         self.deny_ms: float | None = None  # refused before it was acknowledged: when to come back
         self.acknowledged = True
         self.adopted: str | None = None  # the server that may have run it before a restart
+        self.retry = service.retries.get(job_id)  # set: it is sent again after a restart
         self.timer: Timer | None = None
 
+    def may_have_run(self, session: Session) -> bool:
+        """Whether some attempt, also one of before a restart, is not proven never to have run."""
+        return session.may_have_run or self.retry is not None
+
     def sending(self, dispatch: Dispatch) -> bool:
         """Record the dispatch; a dispatch that can't be recorded is not sent."""
+        retry = self.retry
+        if retry is not None and (self.service.wall() > retry.until_s or dispatch.number >= retry.attempts):
+            return False
         try:
             self.rows[dispatch.number] = self.service.store.sending(
                 self.id, self.service.engine.table.uid(dispatch.server), self.service.wall()
@@ -107,7 +121,7 @@
         """Refused: final for a job that asked for no waiting; another goes back to the waiting room."""
         if not self.acknowledged:
             self.deny_ms = retry_after_ms or 0.0
-        elif session.may_have_run:
+        elif session.may_have_run or (self.retry is not None and self.direct):
             self._unserved(session, "refused")
         elif not self.direct:
             self.service.returned(self, PAUSE_MS if retry_after_ms is None else retry_after_ms)
@@ -128,7 +142,7 @@
         self._unserved(session, "terminated")
 
     def _unserved(self, session: Session, how: str) -> None:
-        ran = "it may have run" if session.may_have_run else "it has not run"
+        ran = "it may have run" if self.may_have_run(session) else "it has not run"
         self.service.finish(self.id, JobState.FAILED, annotation=f"{how}: {ran}")
 
 
@@ -168,6 +182,7 @@
         self.classes = {c.name: index for index, c in enumerate(settings.classes)}
         self.tickets: dict[str, Ticket] = {}
         self.direct: set[str] = set()  # jobs that asked for no waiting and are not terminated
+        self.retries: dict[str, RetryLimit] = {}  # jobs that are sent again after a restart
         self.fresh: dict[str, Job] = {}  # recorded in this very call: need not be read again
         self.ended: Callable[[Job], None] = lambda job: None  # told once of each job, after its record
         self.stopping = False
@@ -375,6 +390,7 @@
             return
         self.tickets.pop(job_id, None)
         self.direct.discard(job_id)
+        self.retries.pop(job_id, None)
         self.feed(room_api.JobEnded(job_id, state is JobState.DONE))
         if job is not None:
             self.ended(job)
@@ -385,7 +401,8 @@
             with self.store.transaction():
                 now = self.wall()
                 for end in ends:
-                    self.store.finish(end.job, JobState.FAILED, now, annotation=annotation(end))
+                    note = annotation(end, may_have_run=end.job in self.retries)
+                    self.store.finish(end.job, JobState.FAILED, now, annotation=note)
         except sqlite3.Error as error:
             log.error("store_failed", extra={"kv": {"ends": len(ends), "error": error}})
             again = partial(self._end_all, ends)
@@ -394,6 +411,7 @@
         for end in ends:
             self.counts[f"ended_{end.cause.name.lower()}"] += 1
             self.direct.discard(end.job)
+            self.retries.pop(end.job, None)
             job = self.store.get(end.job)
             if job is not None:
                 self.ended(job)
@@ -714,7 +732,10 @@
     # After a restart.
 
     def restore(self) -> None:
-        """Take up the jobs of before a restart, with their places. None that may have run is sent again."""
+        """Take up the jobs of before a restart, with their places.
+
+        One that may have run is sent again only where that is harmless, and once its server has given it up.
+        """
         collects = gc.isenabled()
         gc.disable()  # it would walk all that is made here again and again, and find nothing
         try:
@@ -728,34 +749,43 @@
         edges: dict[str, list[Edge]] = {}
         for name, other, condition, done in self.store.open_edges():
             edges.setdefault(name, []).append(Edge(other, condition, done))
-        ran = self.store.may_have_run()
+        ran = self.store.earlier_attempts()
         for batch, most, failed in self.store.open_batches():
             self.feed(room_api.Grouped(batch, most, failed))
         now, specs = self.wall(), []
         with self.store.transaction():
             for job in self.store.open():
-                server = ran.get(job.id)
-                if server is not None:
-                    self._adopt(job, server)
+                earlier = ran.get(job.id)
+                if earlier is not None:
+                    self._adopt(job, earlier)
                 elif job.state in (JobState.RUNNING, JobState.UNDETERMINED):
                     self.store.set_state(job.id, JobState.QUEUED)
                 if job.direct:
                     self.direct.add(job.id)
                 since = None if job.ready is None else max(job.ready, job.submitted)
                 age_ms = None if since is None else max(0.0, now - since) * 1000.0
-                specs.append(self._spec(job, tuple(edges.get(job.id, ())), age_ms, server is not None))
+                specs.append(self._spec(job, tuple(edges.get(job.id, ())), age_ms, earlier is not None))
         if specs:
             kv = {"jobs": len(specs), "may_have_run": len(ran), "direct": len(self.direct)}
             log.info("jobs_restored", extra={"kv": kv})
             self.feed(room_api.Submitted(tuple(specs), restored=True))
 
-    def _adopt(self, job: Job, server: str) -> None:
-        """Guards against a second run: only its call-back or its deadline ends a job that may have run."""
+    def _adopt(self, job: Job, earlier: EarlierAttempts) -> None:
+        """Guards against a second run: its call-back or its deadline ends a job that may have run.
+
+        Unless it may be sent again: then its server is told to give it up.
+        """
+        server = earlier.server
         log.info("job_restored", extra={"kv": {"job": job.id, "may_have_run": True, "server": server}})
         self.store.set_state(job.id, JobState.UNDETERMINED)
         ticket = self.tickets[job.id] = Ticket(self, job.id, job.direct)
         ticket.adopted = server
         self.servers.adopt(job.id, server, partial(self._adopted_ended, job.id))
+        if job.category in self.classes:
+            job_class = self.settings.classes[self.classes[job.category]]
+            limit = retry_limit(job_class, self.settings, earlier)
+            if limit is not None:
+                self._ask_back(job.id, limit)
         deadline = job.deadline
         if deadline == NO_DEADLINE:  # its class's deadline, which counts from its release, is the latest
             index = self.classes.get(job.category, 0)
@@ -764,6 +794,38 @@
             self.clock_ms(deadline), partial(self._adopted_overdue, job.id)
         )
 
+    def _ask_back(self, job_id: str, limit: RetryLimit) -> None:
+        """Have its server give up a job that may be sent again, once that server is listed."""
+        ticket = self.tickets.get(job_id)
+        if ticket is None or ticket.adopted is None or self.wall() >= limit.until_s:
+            return
+        if not self.servers.give_up_at(ticket.adopted, job_id, partial(self._send_again, job_id, limit)):
+            again = partial(self._ask_back, job_id, limit)
+            self.engine.clock.call_at(self.engine.clock.now_ms() + ASK_BACK_AGAIN_MS, again)
+
+    def _send_again(self, job_id: str, limit: RetryLimit) -> None:
+        """A server has heard that a job of before the restart is given up: let it wait for its turn."""
+        ticket = self.tickets.get(job_id)
+        if ticket is None or ticket.adopted is None or self.stopping or self.wall() >= limit.until_s:
+            return
+        log.info("job_sent_again", extra={"kv": {"job": job_id, "server": ticket.adopted}})
+        if ticket.timer is not None:
+            ticket.timer.cancel()
+        self.servers.adopt(job_id, ticket.adopted, None)
+        self.retries[job_id] = limit
+        self.store.set_state(job_id, JobState.REQUEUED)
+        if limit.until_s < math.inf:
+            self.engine.clock.call_at(self.clock_ms(limit.until_s), partial(self._retry_expired, job_id))
+        self.returned(ticket, 0.0)
+
+    def _retry_expired(self, job_id: str) -> None:
+        """A job may not be sent again any more: one that was not ends here."""
+        if job_id not in self.retries:
+            return
+        ticket = self.tickets.get(job_id)
+        if ticket is None or (ticket.session is not None and self.engine.withdraw(ticket.session)):
+            self._adopted_overdue(job_id)
+
     def _adopted_ended(self, job_id: str, outcome: Outcome, result: bytes) -> None:
         if outcome is Outcome.OK:
             self.finish(job_id, JobState.DONE, result=result)
@@ -781,8 +843,10 @@
         self.finish(job_id, JobState.FAILED, annotation="terminated: it may have run")
 
 
-def annotation(end: room_api.End) -> str:
-    """What an end that the room decided is called."""
+def annotation(end: room_api.End, may_have_run: bool = False) -> str:
+    """What an end that the room decided is called; a job may have run before a restart."""
+    if may_have_run:
+        return f"{'terminated' if end.cause is Cause.TERMINATED else 'overdue'}: it may have run"
     match end.cause:
         case Cause.DEPENDENCY:
             chain = "" if end.root in ("", end.of) else f"; it began with job {end.root}"
--- a/grebestack/jobs/store.py
+++ b/grebestack/jobs/store.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from grebestack.job_queue.interface import Condition
+from grebestack.jobs.earlier_attempts import EarlierAttempts
 from grebestack.jobs.records import Batch, Job, JobState, Sent
 
 VERSION = 2
@@ -302,14 +303,15 @@
         )
         return [Sent(server, sent, outcome, bool(never)) for server, sent, outcome, never in rows]
 
-    def may_have_run(self) -> dict[str, str]:
-        """Of the jobs that are not terminated those that may have run, and where each was sent last."""
-        return dict(
-            self.db.execute(
-                f"SELECT d.job, d.server FROM dispatches d JOIN jobs j ON j.id = d.job AND j.{OPEN}"
-                " WHERE NOT d.never_ran ORDER BY d.rowid"
-            )
+    def earlier_attempts(self) -> dict[str, EarlierAttempts]:
+        """Return the attempts that may have run of the jobs that are not terminated."""
+        rows = self.db.execute(
+            "SELECT d.job, min(d.sent), count(*), (SELECT last.server FROM dispatches last"
+            " WHERE last.job = d.job AND NOT last.never_ran ORDER BY last.rowid DESC LIMIT 1)"
+            f" FROM dispatches d JOIN jobs j ON j.id = d.job AND j.{OPEN}"
+            " WHERE NOT d.never_ran GROUP BY d.job"
         )
+        return {job: EarlierAttempts(server, sent, count) for job, sent, count, server in rows}
 
     def ended(self, rows: Iterable[tuple[str, bool, int]]) -> None:
         """Record how dispatches ended: outcome, whether it proves that it never ran, and the row."""
--- a/grebestack/protocol/runners.py
+++ b/grebestack/protocol/runners.py
@@ -161,7 +161,8 @@
 class GiveUp(Exchange):
     """The exchange that tells a runner that a job is no longer waited for.
 
-    `taken` is called once the runner has said that it gives the job up, `over` when no more is heard of it.
+    `taken` is called once the runner has said that it gives the job up, `heard` once it has answered
+    anything, `over` when no more is heard of it.
     """
 
     def __init__(
@@ -171,8 +172,9 @@
         pool: Pool,
         taken: Callable[[], None] = lambda: None,
         over: Callable[[], None] = lambda: None,
+        heard: Callable[[], None] = lambda: None,
     ) -> None:
-        self.taken, self.over = taken, over
+        self.taken, self.over, self.heard = taken, over, heard
         self.data = b"DELETE /jobs/%s HTTP/1.1\r\nHost: %s:%d\r\nContent-Length: 0\r\n\r\n" % (
             quote(call_id, safe="", encoding="latin-1").encode(),
             pool.address[0].encode(),
@@ -188,6 +190,7 @@
         self._ended()
         if 200 <= response.status < 300:
             self.taken()
+        self.heard()
 
     def _ended(self) -> None:
         self.lift()
@@ -302,6 +305,17 @@
         if known is not None:
             GiveUp(self.engine.clock, call_id, self.pools.pool(known.address), taken)
 
+    def give_up_at(self, server: str, call_id: str, heard: Callable[[], None]) -> bool:
+        """Tell a server that a job is not waited for; False if the server is not known.
+
+        `heard` is called once the server has answered: then it has given up whatever it had of the job.
+        """
+        known = self.engine.table.servers.get(server)
+        if known is None:
+            return False
+        GiveUp(self.engine.clock, call_id, self.pools.pool(known.address), heard=heard)
+        return True
+
     def _cancelled(self, dispatch: Dispatch) -> None:
         if dispatch.outcome is None:
             del self.calls[self._key(dispatch)]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -35,6 +35,7 @@
         self.engine, self.sent, self.waiting = engine, list[Dispatch](), list[Dispatch]()
         self.slow = False
         self.adopted: dict[str, Callable[[Outcome, bytes], None] | None] = {}
+        self.given_up: dict[str, Callable[[], None]] = {}  # told so, and not answered yet
 
     def dispatch(self, dispatch: Dispatch) -> None:
         self.waiting.append(dispatch)
@@ -64,6 +65,12 @@
     def cancel_at(self, server: str, call_id: str, taken: Callable[[], None]) -> None:
         pass
 
+    def give_up_at(self, server: str, call_id: str, heard: Callable[[], None]) -> bool:
+        if server not in self.engine.table.servers:
+            return False
+        self.given_up[call_id] = heard
+        return True
+
 
 class FailingStore(JobStore):
     """A job store on a disk that is full for a while."""
@@ -90,6 +97,8 @@
 class Setting:
     """A job service between a store on disk and servers of a model; time is the model's."""
 
+    settings = SETTINGS
+
     def __init__(self, path: Path, servers: int = 1) -> None:
         self.path, self.count = path, servers
         self.clock, self.step = Clock(), 0.0
@@ -97,15 +106,15 @@
 
     def start(self) -> None:
         table = ServerTable()
-        self.engine = Engine(SETTINGS, 1, self.clock, table)
+        self.engine = Engine(self.settings, 1, self.clock, table)
         self.servers = self.engine.servers = Servers(self.engine)
         self.store = FailingStore(str(self.path / "jobs.sqlite"))
-        self.templates = Templates(SETTINGS)
+        self.templates = Templates(self.settings)
         limits = JobLimits(wanted=(10.0, 10.0, 10.0), most_open=10, most_waiting=20_000)
         self.service = JobService(
             self.engine,
             self.servers,
-            SETTINGS,
+            self.settings,
             self.store,
             self.templates,
             limits,
