Request no removal that is refused: it was carried out later

What callers saw: `drop NAME` answered FAILURE at a member without a vote, and the member was removed all the same once it had one.

Cause: ClusterMember.remove_member requested the removal before it looked at the vote.

Ruled out: taking the request back on refusal; nothing need be requested first. Found beside it and only a comment: membership keeps a server out after more falls than `flaps`, as its pages and its test say; the comment said so many.

--- a/grebestack/membership/interface.py
+++ b/grebestack/membership/interface.py
@@ -41,7 +41,7 @@
 class MembershipSettings:
     """What an operator's file says of membership."""
 
-    flaps: int = 3  # so many falls from ready within the window are one too many
+    flaps: int = 3  # more falls from ready than this within the window keep a server out
     flap_window_ms: float = 60_000.0
     hold_ms: float = 2000.0  # then it is kept out for so long, doubled with each further fall
     hold_most_ms: float = 60_000.0
--- a/grebestack/program/cluster_member.py
+++ b/grebestack/program/cluster_member.py
@@ -115,8 +115,9 @@
         replica, own_name = self.node.replica, self.node.settings.name
         if self.node.connections.get(name) is not None or name == own_name:
             return CommandResponse(False, f"{name} is connected: stop it first, or it is admitted again")
-        refusal = replica.remove_member(name)  # requested from now on, also if this member can't vote yet
-        if not refusal and not replica.acceptor.may_vote:
+        if replica.acceptor.may_vote:
+            refusal = replica.remove_member(name)
+        else:
             refusal = f"{own_name} itself {replica.acceptor.describe()}"
         done = f"{name} leaves the set; `fleet` shows the epoch after {replica.config.epoch}"
         return CommandResponse(not refusal, refusal or done)
--- /dev/null
+++ b/tests/test_member_removal.py
@@ -0,0 +1,35 @@
+"""A member's removal from the cluster, as an operator requests it."""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+
+from grebestack.consensus.lease import LeaseTerms
+from grebestack.consensus.messages import Handshake, IncarnationStarted, MembershipConfig
+from grebestack.consensus.recovery import RecoveredState
+from grebestack.consensus.replica import Replica
+from grebestack.program.cluster_member import ClusterMember
+
+
+def member_of_three() -> tuple[Any, Replica]:
+    """Member a of a, b and c as the operators' commands see it, and its replica, which has just started."""
+    state = RecoveredState()
+    config = MembershipConfig(1, (("a", "1"), ("b", "1"), ("c", "1")))
+    state.apply(IncarnationStarted("f", "1", config))
+    replica = Replica("a", "abc", state, 1, (), LeaseTerms(), Random(1), 0.0)
+    node = SimpleNamespace(replica=replica, connections={}, settings=SimpleNamespace(name="a"))
+    return SimpleNamespace(node=node), replica
+
+
+def test_a_removal_that_is_refused_is_not_carried_out_later() -> None:
+    # Guards against a member that is removed after an operator was told that it is not.
+    member, replica = member_of_three()
+    refused = ClusterMember.remove_member(cast(ClusterMember, member), "c")
+    assert not refused.succeeded and "waits to hear" in refused.text
+    for name in ("b", "c"):
+        replica.on_connected(10.0, Handshake(2, "f", name, "1", 1, 1, {}))
+    assert replica.acceptor.may_vote and not replica.membership.removed
+    accepted = ClusterMember.remove_member(cast(ClusterMember, member), "c")
+    assert accepted.succeeded and replica.membership.removed == {"c"}
