Send no second attempt to a server that has not heard that the first was given up

What callers saw: a safe or keyed job ran twice at one server at once.

Cause: a give-up whose connection broke, or that was not answered for 3 s, counted as said; the next attempt could go to the server that still ran the first one.

Evidence: tests/test_give_up.py before this change: two POSTs for one.

Ruled out: saying it again, which a hung server does not hear either.

Change: until a server has answered the DELETE it gets no other attempt of that job, up to its deadline.

--- a/grebestack/protocol/runners.py
+++ b/grebestack/protocol/runners.py
@@ -162,7 +162,7 @@
     """The exchange that tells a runner that a job is no longer waited for.
 
     `taken` is called once the runner has said that it gives the job up, `heard` once it has answered
-    anything, `over` when no more is heard of it.
+    anything, `unheard` if it never does.
     """
 
     def __init__(
@@ -171,10 +171,10 @@
         call_id: str,
         pool: Pool,
         taken: Callable[[], None] = lambda: None,
-        over: Callable[[], None] = lambda: None,
         heard: Callable[[], None] = lambda: None,
+        unheard: Callable[[], None] = lambda: None,
     ) -> None:
-        self.taken, self.over, self.heard = taken, over, heard
+        self.taken, self.heard, self.unheard = taken, heard, unheard
         self.data = b"DELETE /jobs/%s HTTP/1.1\r\nHost: %s:%d\r\nContent-Length: 0\r\n\r\n" % (
             quote(call_id, safe="", encoding="latin-1").encode(),
             pool.address[0].encode(),
@@ -187,16 +187,16 @@
         return self.data
 
     def answered(self, response: Response) -> None:
-        self._ended()
+        self.lift()
         if 200 <= response.status < 300:
             self.taken()
         self.heard()
 
-    def _ended(self) -> None:
+    def _lost(self) -> None:
         self.lift()
-        self.over()
+        self.unheard()
 
-    unsent = broken = _ended
+    unsent = broken = _lost
 
 
 class Probe(Exchange):
@@ -242,7 +242,7 @@
         self.engine, self.pools, self.reports = engine, pools, reports
         self.adopted: dict[tuple[str, str], Ended] = {}  # sent before a restart
         self.calls: dict[tuple[str, str], Call] = {}  # by call id and server: what is waited for
-        self.given_up: set[tuple[str, str]] = set()  # what a server is just being told not to do
+        self.given_up: set[tuple[str, str]] = set()  # what a server has not confirmed to be given up
         self.mark: Callable[[], bytes] = bytes  # a header line of an audit's, or nothing
         self.quiet_until_ms = 0.0  # no second line about a spoilt call-back before
         self.uids: dict[str, str] = {}  # servers that have moved: the id that their call-backs bring
@@ -284,8 +284,17 @@
             dispatch.stage is Stage.WRITTEN and not dispatch.session.closed
         ):
             self.given_up.add(key)
-            forget = partial(self.given_up.discard, key)
-            GiveUp(self.engine.clock, dispatch.session.call_id, call.pool, over=forget)
+            GiveUp(
+                self.engine.clock,
+                dispatch.session.call_id,
+                call.pool,
+                heard=partial(self.given_up.discard, key),
+                unheard=partial(self._forget_at_deadline, key, dispatch.session.asked.deadline_ms),
+            )
+
+    def _forget_at_deadline(self, key: tuple[str, str], deadline_ms: float) -> None:
+        """Send no other attempt of a job to a server that may still run it: the give-up was not heard."""
+        self.engine.clock.call_at(deadline_ms, partial(self.given_up.discard, key))
 
     def let_go(self, dispatch: Dispatch) -> str:
         """Wait no longer for a dispatch's call-back; tells the id by which its server names itself."""
