--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -288,3 +289,11 @@
 
 def test_a_vote_lost_by_a_lying_disk_before_its_peers_knew_of_it_forgets_no_value() -> None:
     check_under_faults(seed=230, count=3)
+
+
+@pytest.mark.parametrize(("seed", "count"), [(100247, 3), (100509, 5)])
+def test_all_tasks_are_taken_within_three_terms_of_a_first_start(seed: int, count: int) -> None:
+    # Guards against a first lease that waits too long for the witnesses of its votes on slow links and disks.
+    world = World(seed, count)
+    world.run(3 * TERMS.term_ms)
+    assert {act.task for act in world.history.acts} == set(TASKS)
