--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -223,7 +223,11 @@
         """Do nothing: these workers answer no probes."""
 
     def set_callback_handler(
-        self, call_id: str, worker: str, on_ended: Callable[[Outcome, bytes], None] | None
+        self,
+        call_id: str,
+        worker: str,
+        on_ended: Callable[[Outcome, bytes], None] | None,
+        ambiguous_outcomes: frozenset[Outcome] = frozenset(),
     ) -> None:
         """Do nothing: no job from before a restart runs here."""
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -57,8 +57,8 @@
 )
 from grebestack.consensus.register import Value
 from grebestack.core import api
-from grebestack.core.api import ListKind
-from grebestack.jobs.records import Job, JobState
+from grebestack.core.api import ListKind, Outcome
+from grebestack.jobs.records import AttemptEnd, Job, JobState
 from grebestack.jobs.store import JobStore
 from grebestack.program.config.operator_file import from_file
 from grebestack.program.config.platform import check_reload
@@ -706,7 +706,7 @@
             rows = [store.record_attempt(name, "s-00000007", 1.8e9) for name in names]
         starts += time.monotonic() - at
         with store.transaction():
-            store.record_attempt_ends([("ok", False, row) for row in rows])
+            store.record_attempt_ends([AttemptEnd(row, Outcome.OK) for row in rows])
             for name in names:
                 store.finish(name, JobState.DONE, 1.8e9 + 1, result=b"done")
     wall, spent = time.monotonic() - began, time.thread_time() - cpu
--- a/grebestack/core/events.py
+++ b/grebestack/core/events.py
@@ -49,6 +49,18 @@
         return self is Outcome.REJECTED or self is Outcome.CONNECT_FAILED or self is Outcome.NOT_SENT
 
 
+class LaterReport(Enum):
+    """What a worker may still report about an attempt that has ended.
+
+    A report names the request and the worker but no attempt, and is repeated until it is answered: nothing
+    tells a late one from that of a later attempt at the same worker.
+    """
+
+    NONE = "none"
+    SAME = "same"  # the outcome that it has reported already
+    ANY = "any"  # any outcome: the attempt has ended without a report
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """One entry of the endpoint list."""
@@ -92,6 +104,11 @@
     cost_ms: float | None = None
     retry: bool = False
     aged: bool = False  # has waited so long that it is served before all others
+    can_wait: bool = False  # is kept, and tried again later, if it is rejected
+    # What a former process knew of it: its attempts, and the workers that may report them again, by name.
+    earlier_attempts: int = 0
+    avoided_workers: tuple[str, ...] = ()  # by `LaterReport.SAME`
+    excluded_workers: tuple[str, ...] = ()  # by `LaterReport.ANY`
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +150,7 @@
     elapsed_ms: float
     closed: bool
     report: Mapping[str, float] = field(default_factory=dict)
+    later_report: LaterReport = LaterReport.NONE
 
 
 @dataclass(frozen=True, slots=True)
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -175,7 +175,7 @@
         value = job_class.priority_weight * request.value_units(context.settings)
         context.estimates.on_arrival(event.job_class, event.slots, value)
         self._give_up_at_deadline(request)
-        if self.queue.heads(request.queue_key, 1):
+        if self.queue.heads(request.queue_key, 1) and not self.selector.has_no_candidate(request):
             self._enqueue(request)
         else:
             self._place(request)
@@ -206,7 +206,7 @@
             self._give_up(request)
         elif worker := self.selector.select(request):
             self._send(request, worker)
-        elif self.selector.rejects_at_end[request.queue_key.class_index] and is_new:
+        elif self.selector.is_hopeless(request):
             self._give_up(request)
         else:
             self._enqueue(request)
@@ -351,7 +351,7 @@
         request, attempt = self.requests.find(event.request, event.attempt)
         if request is None or attempt is None:
             return
-        attempt.outcome, attempt.ended_ms = event.outcome, self.context.now_ms
+        request.end_attempt(attempt, event, self.context.now_ms)
         worker = attempt.worker
         was_full = worker.used_slots >= worker.concurrency_limit
         worker.count_attempt(request.arrival, -1)
--- a/grebestack/core/requests.py
+++ b/grebestack/core/requests.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from grebestack.core.events import RequestArrived
+from grebestack.core.events import AttemptEnded, LaterReport, RequestArrived
 from grebestack.core.settings import JobClass, Settings
 from grebestack.core.workers import Attempt, TrackedWorker
 
@@ -27,11 +27,28 @@
     job_class: JobClass
     arrived_ms: float
     queue_key: QueueKey
-    max_attempts: int  # by the settings at its arrival
+    max_attempts: int  # by the settings at its arrival, less those of a former process
     attempts: list[Attempt] = field(default_factory=list)
+    # By name: workers that may repeat the report of an ended attempt, or still report any end of one.
+    avoided_workers: set[str] = field(init=False)
+    excluded_workers: set[str] = field(init=False)
     is_closed: bool = False
     is_queued: bool = False
 
+    def __post_init__(self) -> None:
+        """Take over what a former process knew."""
+        self.max_attempts -= self.arrival.earlier_attempts
+        self.avoided_workers = set(self.arrival.avoided_workers)
+        self.excluded_workers = set(self.arrival.excluded_workers)
+
+    def end_attempt(self, attempt: Attempt, event: AttemptEnded, now_ms: float) -> None:
+        """Record how an attempt ended, and what its worker may still report about it."""
+        attempt.outcome, attempt.ended_ms = event.outcome, now_ms
+        if event.later_report is LaterReport.SAME:
+            self.avoided_workers.add(event.worker)
+        elif event.later_report is LaterReport.ANY:
+            self.excluded_workers.add(event.worker)
+
     @property
     def has_cache_key(self) -> bool:
         """Whether it names a cache key; 0 is a valid key."""
@@ -45,9 +62,14 @@
         """Return the attempts without an outcome that are not cancelled; cancelled ones may still run."""
         return [a for a in self.attempts if a.outcome is None and not a.is_cancelled]
 
-    def may_run_at(self, worker: TrackedWorker) -> bool:
-        """Whether an attempt may still be running at a worker."""
-        return any(a.worker is worker and a.outcome is None for a in self.attempts)
+    def excludes(self, worker: TrackedWorker) -> bool:
+        """Whether another attempt at a worker could be mistaken for an earlier one."""
+        if any(a.worker is worker and a.outcome is None for a in self.attempts):
+            return True
+        if not (self.avoided_workers or self.excluded_workers):
+            return False
+        name = worker.entry.worker
+        return name in self.avoided_workers or name in self.excluded_workers
 
     def possibly_executed(self) -> list[Attempt]:
         """Return all attempts except those that certainly never ran."""
--- a/grebestack/core/selection.py
+++ b/grebestack/core/selection.py
@@ -10,7 +10,7 @@
 from grebestack.core.outliers import SLUGGISH_FACTOR, OutlierDetection
 from grebestack.core.queueing import Reservation
 from grebestack.core.requests import Request
-from grebestack.core.retries import retry_scope
+from grebestack.core.retries import may_reject, retry_scope
 from grebestack.core.script import ResolvedScript, block_members, built_in_script
 from grebestack.core.settings import Block, Effect
 from grebestack.core.slow_start import SlowStart
@@ -90,6 +90,7 @@
 
     def select(self, request: Request, only: TrackedWorker | None = None) -> TrackedWorker | None:
         """Return the worker to send to, or None; with `only`, that worker or None."""
+        self._reconsider_avoided(request)
         zone, cell = retry_scope(request)
         now_ms, slots = self.context.now_ms, request.arrival.slots
         for block_index in self.block_indices[request.queue_key.class_index]:
@@ -122,10 +123,32 @@
         may_use = worker.own_zone or self.may_use_remote_zone(request)
         if not (1.0 < request.arrival.slots <= worker.max_free_slots and may_use):
             return False
+        if request.excludes(worker):
+            return False
         kind = request.job_class.kind
         block_indices = self.block_indices[request.queue_key.class_index]
         return any(worker in self._ranking(RankingKey(index, kind, *scope)) for index in block_indices)
 
+    def _reconsider_avoided(self, request: Request) -> None:
+        """Use the avoided workers after all if there is no other, unless the request can be tried later."""
+        if request.avoided_workers and not request.arrival.can_wait and self.has_no_candidate(request):
+            request.avoided_workers.clear()
+
+    def is_hopeless(self, request: Request) -> bool:
+        """Whether a request without a worker is given up at once rather than queued."""
+        if not request.attempts and self.rejects_at_end[request.queue_key.class_index]:
+            return True
+        return may_reject(request) and self.has_no_candidate(request)
+
+    def has_no_candidate(self, request: Request) -> bool:
+        """Whether waiting is in vain: no attempt is awaited, and no ready worker may be sent another one."""
+        if not (request.avoided_workers or request.excluded_workers) or request.awaited_attempts():
+            return False
+        kind, scope = request.job_class.kind, retry_scope(request)
+        block_indices = self.block_indices[request.queue_key.class_index]
+        rankings = (self._ranking(RankingKey(index, kind, *scope)) for index in block_indices)
+        return all(request.excludes(worker) for ranking in rankings for worker in ranking)
+
     def _pick(self, key: RankingKey, request: Request, only: TrackedWorker | None) -> TrackedWorker | None:
         """Return the first valid worker of one block, or a random one, depending on its strategy.
 
@@ -138,7 +161,7 @@
         valid = (
             w
             for w in self._candidates(block, key, request, only)
-            if not (rule(w, request, threshold) or is_unavailable(w, request) or request.may_run_at(w))
+            if not (rule(w, request, threshold) or is_unavailable(w, request) or request.excludes(w))
         )
         if block.strategy == "random":
             choices = list(valid)
--- a/grebestack/hot_restart/messages.py
+++ b/grebestack/hot_restart/messages.py
@@ -106,16 +106,33 @@
     return {TYPE_KEY: MessageType.CONNECTION, "asked": request_sent, "idle": idle}
 
 
-def queued_request(deadline_ms: float, request: Message) -> Message:
-    """Hand over a request not yet sent to a worker, with its client's connection."""
-    return {"deadline_ms": deadline_ms, TYPE_KEY: MessageType.QUEUED_REQUEST, **request}
-
-
-def in_flight_request(deadline_ms: float, worker: str, call_id: str) -> Message:
-    """Hand over a request that a worker runs, with its client's connection."""
-    return {
+def queued_request(
+    deadline_ms: float, request: Message, attempt_count: int, reported_again: list[list[str]]
+) -> Message:
+    """Hand over a request that no worker runs, with its client's connection.
+
+    `reported_again` has for each ended attempt that its worker may still report: the worker's call-back id,
+    the outcome, and what may be reported. Like the number of attempts it is left out if there is nothing to
+    say, as processes do that don't know of it.
+    """
+    message = {"deadline_ms": deadline_ms, TYPE_KEY: MessageType.QUEUED_REQUEST, **request}
+    if attempt_count:
+        message |= {"attempts": attempt_count, "reported_again": reported_again}
+    return message
+
+
+def in_flight_request(
+    deadline_ms: float, worker: str, call_id: str, ambiguous_outcomes: list[str]
+) -> Message:
+    """Hand over a request that a worker runs, with its client's connection.
+
+    Call-backs with one of the ambiguous outcomes may be repeats of an earlier one; the key is left out if
+    there are none.
+    """
+    message: Message = {
         "deadline_ms": deadline_ms,
         TYPE_KEY: MessageType.IN_FLIGHT_REQUEST,
         "server": worker,
         "id": call_id,
     }
+    return message | {"ambiguous": ambiguous_outcomes} if ambiguous_outcomes else message
--- a/grebestack/jobs/records.py
+++ b/grebestack/jobs/records.py
@@ -6,6 +6,7 @@
 from enum import Enum, StrEnum
 from typing import Protocol
 
+from grebestack.core.api import Outcome
 from grebestack.job_queue.interface import Condition
 from grebestack.routing.requests import Payload
 
@@ -70,6 +71,15 @@
     never_ran: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """How a recorded attempt ended, and until when its worker may repeat the report of that."""
+
+    row: int
+    outcome: Outcome
+    reports_until_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Jobs that were submitted together, all or none.
--- a/grebestack/jobs/recovery.py
+++ b/grebestack/jobs/recovery.py
@@ -19,6 +19,7 @@
     from grebestack.jobs.service import JobService
 
 log = logging.getLogger(__name__)
+FAILURES = (Outcome.ERROR, Outcome.REJECTED, Outcome.RESET)  # what a worker may report, except success
 WORKER_LOOKUP_INTERVAL_MS = 100.0  # until it is checked again whether the worker is listed
 
 
@@ -49,6 +50,7 @@
         for job_id, prerequisite, condition, done in service.store.open_dependencies():
             dependencies.setdefault(job_id, []).append(Dependency(prerequisite, condition, done))
         earlier_attempts = service.store.earlier_attempts()
+        service.late_reports.restore(service.store.late_reports(service.wall_clock()))
         for batch, max_parallel, failed in service.store.open_batches():
             service.handle_event(queue_api.BatchAdded(batch, max_parallel, failed))
         now, specs = service.wall_clock(), []
@@ -86,7 +88,9 @@
         service.store.set_state(job.id, JobState.UNDETERMINED)
         released_job = service.released_jobs[job.id] = ReleasedJob(service, job.id, job.direct)
         released_job.earlier_worker = worker
-        service.workers.set_callback_handler(job.id, worker, partial(self._on_earlier_attempt_ended, job.id))
+        on_ended = partial(self._on_earlier_attempt_ended, job.id)
+        ambiguous = service.late_reports.ambiguous_outcomes(job.id, worker)
+        service.workers.set_callback_handler(job.id, worker, on_ended, ambiguous)
         if job.category in service.class_indices:
             job_class = service.settings.classes[service.class_indices[job.category]]
             limit = retry_limit(job_class, service.settings, earlier)
@@ -131,6 +135,7 @@
         if released_job.timer is not None:
             released_job.timer.cancel()
         service.workers.set_callback_handler(job_id, released_job.earlier_worker, None)
+        service.late_reports.add(job_id, released_job.earlier_worker, FAILURES)
         service.retry_limits[job_id] = limit
         service.store.set_state(job_id, JobState.REQUEUED)
         if limit.until_s < math.inf:
--- a/grebestack/jobs/released_job.py
+++ b/grebestack/jobs/released_job.py
@@ -6,8 +6,9 @@
 import sqlite3
 from typing import TYPE_CHECKING
 
+from grebestack.core.api import LaterReport
 from grebestack.job_queue import interface as queue_api
-from grebestack.jobs.records import JobState
+from grebestack.jobs.records import AttemptEnd, JobState
 from grebestack.routing.interfaces import Timer
 from grebestack.routing.requests import Attempt, Request
 
@@ -44,7 +45,7 @@
             return False
         try:
             self.attempt_rows[attempt.number] = self.service.store.record_attempt(
-                self.id, self.service.engine.table.callback_id(attempt.worker), self.service.wall_clock()
+                self.id, attempt.callback_id, self.service.wall_clock()
             )
         except sqlite3.Error as error:
             log.error("store_failed", extra={"kv": {"job": self.id, "error": error}})
@@ -57,13 +58,15 @@
         outcome, row = attempt.outcome, self.attempt_rows.get(attempt.number)
         if outcome is None or row is None:
             return
-        attempt_end = (outcome.value, outcome.never_ran, row)
         if not outcome.never_ran:  # the stored record already says that it may have run
-            self.service.defer_attempt_end(attempt_end)
+            self.service.defer_attempt_end(AttemptEnd(row, outcome))
             return
+        until_s = None
+        if attempt.later_report is not LaterReport.NONE:
+            until_s = self.service.late_reports.add(self.id, attempt.callback_id, [outcome])
         try:
             with self.service.store.transaction():
-                self.service.store.record_attempt_ends([attempt_end])
+                self.service.store.record_attempt_ends([AttemptEnd(row, outcome, until_s)])
                 self.service.store.set_state(self.id, JobState.REQUEUED)
         except sqlite3.Error as error:  # the record still says that it may have run, which is safe
             log.error("store_failed", extra={"kv": {"job": self.id, "error": error}})
--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -23,8 +23,10 @@
 from grebestack.jobs.batch_intake import BatchIntake
 from grebestack.jobs.descriptions import describe_wait, end_annotation
 from grebestack.jobs.earlier_attempts import RetryLimit
+from grebestack.jobs.late_reports import LateReports
 from grebestack.jobs.records import (
     NO_DEADLINE,
+    AttemptEnd,
     Batch,
     Job,
     JobError,
@@ -53,9 +55,13 @@
     """What the job service needs from the worker side for jobs that were sent before a restart."""
 
     def set_callback_handler(
-        self, call_id: str, worker: str, on_ended: Callable[[Outcome, bytes], None] | None
+        self,
+        call_id: str,
+        worker: str,
+        on_ended: Callable[[Outcome, bytes], None] | None,
+        ambiguous_outcomes: frozenset[Outcome] = frozenset(),
     ) -> None:
-        """Call `on_ended` at the end of such a job; None stops waiting for it."""
+        """Call `on_ended` at the end of such a job, unless its outcome is ambiguous; None stops waiting."""
 
     def cancel_job(self, worker: str, call_id: str, on_confirmed: Callable[[], None]) -> None:
         """Ask a worker to cancel a job; `on_confirmed` is called if it does."""
@@ -105,7 +111,8 @@
         self.handling_events = False
         self.tick_timer: Timer | None = None
         self.ready_times: dict[str, float | None] = {}  # not recorded yet
-        self.attempt_ends: list[tuple[str, bool, int]] = []  # not recorded yet
+        self.attempt_ends: list[AttemptEnd] = []  # not recorded yet
+        self.late_reports = LateReports(wall_clock)
         self.recording_scheduled = self.availability_check_scheduled = False
         self.batch_intake, self.recovery = BatchIntake(self), JobRecovery(self)
         self._check_availability()
@@ -169,7 +176,7 @@
         self.ready_times[job_id] = ready
         self._schedule_recording()
 
-    def defer_attempt_end(self, ended: tuple[str, bool, int]) -> None:
+    def defer_attempt_end(self, ended: AttemptEnd) -> None:
         """Record later that an attempt has ended that may have run, as the store already says."""
         self.attempt_ends.append(ended)
         self._schedule_recording()
@@ -232,6 +239,8 @@
             slots=job_request.slots,
             memory=job_request.memory,
             aged=aged,
+            can_wait=not job.direct and released_job.retry_limit is None,
+            history=self.late_reports.history(job_id),
         )
 
     def _withdraw(self, job_id: str) -> None:
@@ -327,8 +336,7 @@
                 released_job.timer = timer
             return
         self.released_jobs.pop(job_id, None)
-        self.direct_jobs.discard(job_id)
-        self.retry_limits.pop(job_id, None)
+        self._forget(job_id)
         self.handle_event(queue_api.JobEnded(job_id, state is JobState.DONE))
         if job is not None:
             self.on_job_ended(job)
@@ -348,12 +356,17 @@
             return
         for end in ends:
             self.counts[f"ended_{end.cause.name.lower()}"] += 1
-            self.direct_jobs.discard(end.job)
-            self.retry_limits.pop(end.job, None)
+            self._forget(end.job)
             job = self.store.get(end.job)
             if job is not None:
                 self.on_job_ended(job)
 
+    def _forget(self, job_id: str) -> None:
+        """Forget what is only known of jobs that have not ended."""
+        self.direct_jobs.discard(job_id)
+        self.retry_limits.pop(job_id, None)
+        self.late_reports.forget(job_id)
+
     # Submissions.
 
     def _dependencies(
--- a/grebestack/jobs/store.py
+++ b/grebestack/jobs/store.py
@@ -8,11 +8,13 @@
 from operator import attrgetter
 from typing import Any
 
+from grebestack.core.api import Outcome
 from grebestack.job_queue.interface import Condition
 from grebestack.jobs.earlier_attempts import EarlierAttempts
-from grebestack.jobs.records import AttemptRecord, Batch, Job, JobState
+from grebestack.jobs.late_reports import LateReport
+from grebestack.jobs.records import AttemptEnd, AttemptRecord, Batch, Job, JobState
 
-VERSION = 2
+VERSION = 3
 # The changes of each schema version; a new file gets all of them, an older one those that it lacks.
 MIGRATIONS = (
     """
@@ -70,6 +72,9 @@
         failed INTEGER NOT NULL DEFAULT 0  -- of its jobs whose records are gone
     );
     """,
+    """
+    ALTER TABLE dispatches ADD COLUMN reports_until REAL;  -- until when its server may repeat its report
+    """,
 )
 NOT_ENDED = "state NOT IN ('DONE', 'FAILED')"
 FIELDS = (
@@ -326,10 +331,24 @@
             job: EarlierAttempts(worker, first_sent_s, count) for job, first_sent_s, count, worker in rows
         }
 
-    def record_attempt_ends(self, rows: Iterable[tuple[str, bool, int]]) -> None:
-        """Record the ends of attempts: outcome, whether it proves that the job never ran, and row."""
+    def late_reports(self, now_s: float) -> list[tuple[str, LateReport]]:
+        """Return the reports that may still be repeated, each with its job, which has not ended."""
+        rows = self.db.execute(
+            "SELECT d.job, d.server, d.outcome, d.reports_until FROM dispatches d"
+            f" JOIN jobs j ON j.id = d.job AND j.{NOT_ENDED} WHERE d.reports_until > ?",
+            (now_s,),
+        )
+        return [
+            (job, LateReport(callback_id, Outcome(outcome), until_s))
+            for job, callback_id, outcome, until_s in rows
+        ]
+
+    def record_attempt_ends(self, ends: Iterable[AttemptEnd]) -> None:
+        """Record the ends of attempts."""
+        statement = "UPDATE dispatches SET outcome = ?, never_ran = ?, reports_until = ? WHERE rowid = ?"
+        values = [(end.outcome.value, end.outcome.never_ran, end.reports_until_s, end.row) for end in ends]
         with self.transaction():
-            self.db.executemany("UPDATE dispatches SET outcome = ?, never_ran = ? WHERE rowid = ?", rows)
+            self.db.executemany(statement, values)
 
     # Batches.
 
--- a/grebestack/program/hot_restart_adoption.py
+++ b/grebestack/program/hot_restart_adoption.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from grebestack.core.api import Outcome
+from grebestack.core.api import LaterReport, Outcome
 from grebestack.hot_restart.messages import Message, MessageType, message_type
 from grebestack.program.hot_restart_interface import RestartableDispatcher
 from grebestack.protocol.platform import DEADLINE_MARGIN_MS
+from grebestack.routing.requests import EndedAttempt, RequestHistory
 from grebestack.transport.server import Connection, HttpRequest
 
 log = logging.getLogger(__name__)
@@ -55,6 +56,7 @@
     def _adopt_queued(self, descriptor: int, message: Message) -> None:
         """Adopt a request not yet sent to a worker, as if its client had sent it here."""
         request = request_from_wire(message)
+        request.context = request_history(message)
         remaining_ms = float(message["deadline_ms"]) + DEADLINE_MARGIN_MS - self.dispatcher.clock.now_ms()
         request.headers[b"x-budget"] = b"%.3f" % (max(MIN_BUDGET_MS, remaining_ms) / 1000.0)
         self._adopt_descriptor(descriptor, True, False, lambda connection: connection.resume(request))
@@ -79,7 +81,8 @@
 
         timer = self.dispatcher.clock.call_at(deadline_ms, on_deadline)
         self.in_flight_ids.add(call_id)
-        http_workers.set_callback_handler(call_id, worker, on_ended)
+        ambiguous = frozenset(Outcome(value) for value in message.get("ambiguous", ()))
+        http_workers.set_callback_handler(call_id, worker, on_ended, ambiguous)
         self._adopt_descriptor(descriptor, True, False, response.connect)
 
     def _adopt_descriptor(
@@ -130,6 +133,15 @@
     return (HTTP_SERVICE_UNAVAILABLE if outcome.never_ran else HTTP_BAD_GATEWAY), b""
 
 
+def request_history(message: Message) -> RequestHistory:
+    """What the predecessor knew of a request that no worker runs."""
+    reported_again = (
+        EndedAttempt(str(callback_id), Outcome(outcome), LaterReport(later_report))
+        for callback_id, outcome, later_report in message.get("reported_again", ())
+    )
+    return RequestHistory(int(message.get("attempts", 0)), tuple(reported_again))
+
+
 def request_from_wire(message: Message) -> HttpRequest:
     """The request that a message holds."""
     headers = {name.encode("latin-1"): value.encode("latin-1") for name, value in message["headers"]}
--- a/grebestack/program/hot_restart_handover.py
+++ b/grebestack/program/hot_restart_handover.py
@@ -59,7 +59,9 @@
             if attempt is None:
                 continue
             worker = self.dispatcher.http_workers.hand_over(attempt)
-            message = messages.in_flight_request(request.arrival.deadline_ms, worker, request.call_id)
+            ambiguous = sorted(outcome.value for outcome in request.ambiguous_outcomes(worker))
+            deadline_ms = request.arrival.deadline_ms
+            message = messages.in_flight_request(deadline_ms, worker, request.call_id, ambiguous)
             self._send_request(successor, responder, message)
 
     def _send_open_requests(self, successor: int) -> None:
@@ -123,8 +125,7 @@
         self.dispatcher.loop.call_later(QUEUED_REQUESTS_INTERVAL_S, self._hand_over_queued, successor)
         for request, responder in self._movable_requests(successor):
             if self.dispatcher.engine.withdraw_unsent(request):
-                fields = request_to_wire(responder.http_request)
-                message = messages.queued_request(request.arrival.deadline_ms, fields)
+                message = queued_request_to_wire(request, responder.http_request)
                 self._send_request(successor, responder, message)
 
     def _movable_requests(self, successor: int) -> Iterator[tuple[Request, PlatformResponder]]:
@@ -146,6 +147,17 @@
     return f"{attempt.request.number}.{attempt.number}"
 
 
+def queued_request_to_wire(request: Request, http_request: HttpRequest) -> Message:
+    """The message that hands over a request that no worker runs."""
+    attempt_count = request.arrival.earlier_attempts + len(request.attempts)
+    reported_again = [
+        [ended.callback_id, ended.outcome.value, ended.later_report.value]
+        for ended in request.reported_again()
+    ]
+    fields = request_to_wire(http_request)
+    return messages.queued_request(request.arrival.deadline_ms, fields, attempt_count, reported_again)
+
+
 def request_to_wire(request: HttpRequest) -> Message:
     """The message fields of an HTTP request."""
     headers = [[name.decode("latin-1"), value.decode("latin-1")] for name, value in request.headers.items()]
--- a/grebestack/protocol/http_workers.py
+++ b/grebestack/protocol/http_workers.py
@@ -6,12 +6,13 @@
 import logging
 import math
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from enum import Enum
 from functools import partial
 from typing import Any
 from urllib.parse import quote
 
-from grebestack.core.api import Effect, Outcome
+from grebestack.core.api import Effect, LaterReport, Outcome
 from grebestack.routing.engine import Engine
 from grebestack.routing.interfaces import Clock
 from grebestack.routing.requests import Attempt, AttemptStage
@@ -49,6 +50,14 @@
     return text.encode("utf-8", "surrogatepass")
 
 
+@dataclass(frozen=True, slots=True)
+class AdoptedJob:
+    """A job that another process has sent, or this one before a restart."""
+
+    on_ended: OnJobEnded
+    ambiguous_outcomes: frozenset[Outcome]
+
+
 class CallbackResult(Enum):
     """What became of a call-back."""
 
@@ -87,6 +96,7 @@
 
     def __init__(self, workers: HttpWorkers, attempt: Attempt, pool: ConnectionPool) -> None:
         self.workers, self.attempt, self.pool = workers, attempt, pool
+        self.has_called_back = False
         index = attempt.request.arrival.job_class
         self.delays_last_byte = workers.engine.settings.classes[index].effect is Effect.NOT_IDEMPOTENT
 
@@ -118,7 +128,10 @@
         never_ran = response.status in (503, 504) and response.headers.get(b"x-rejected") == b"1"
         report = self.workers.reports.read_header(response.headers.get(b"x-load-report"))
         self._log_failure("answer", status=response.status)
-        self.workers.finish(self.attempt, Outcome.REJECTED if never_ran else Outcome.ERROR, report)
+        # A worker that refuses a job in its response has not taken it, and has nothing more to report.
+        outcome = Outcome.REJECTED if never_ran else Outcome.ERROR
+        later_report = LaterReport.ANY if self.has_called_back else LaterReport.NONE
+        self.workers.finish(self.attempt, outcome, report, later_report)
 
     def _log_failure(self, how: str, **more: object) -> None:
         """Log in one line which worker failed a job, and how, so that operators need not correlate lines."""
@@ -136,7 +149,7 @@
 
     def on_response_lost(self) -> None:
         self._log_failure("connection_broke")
-        self.workers.finish(self.attempt, Outcome.RESET)
+        self.workers.finish(self.attempt, Outcome.RESET, later_report=LaterReport.ANY)
 
 
 class ExchangeTimeout:
@@ -168,8 +181,6 @@
         Called when the worker has confirmed that it drops the job.
     on_any_response
         Called when the worker has responded, whatever the status.
-    on_no_response
-        Called if the worker never responds.
     """
 
     def __init__(
@@ -179,13 +190,8 @@
         pool: ConnectionPool,
         on_confirmed: Callable[[], None] = lambda: None,
         on_any_response: Callable[[], None] = lambda: None,
-        on_no_response: Callable[[], None] = lambda: None,
     ) -> None:
-        self.on_confirmed, self.on_any_response, self.on_no_response = (
-            on_confirmed,
-            on_any_response,
-            on_no_response,
-        )
+        self.on_confirmed, self.on_any_response = on_confirmed, on_any_response
         self.data = b"DELETE /jobs/%s HTTP/1.1\r\nHost: %s:%d\r\nContent-Length: 0\r\n\r\n" % (
             quote(call_id, safe="", encoding="latin-1").encode(),
             pool.address[0].encode(),
@@ -205,7 +211,6 @@
 
     def _on_lost(self) -> None:
         self.cancel_timeout()
-        self.on_no_response()
 
     on_not_sent = on_response_lost = _on_lost
 
@@ -252,35 +257,44 @@
     def __init__(self, engine: Engine, pools: ConnectionPools, reports: LoadReportReader) -> None:
         self.engine, self.pools, self.reports = engine, pools, reports
         # The keys are a call id and the id that the worker's call-backs carry.
-        self.adopted_jobs: dict[tuple[str, str], OnJobEnded] = {}  # sent by another process, or earlier
+        self.adopted_jobs: dict[tuple[str, str], AdoptedJob] = {}
         self.exchanges: dict[tuple[str, str], AttemptExchange] = {}  # of the attempts that are waited for
-        self.unconfirmed_cancels: set[tuple[str, str]] = set()  # jobs whose worker may still run them
         self.audit_header: Callable[[], bytes] = bytes  # returns a header line for the audit, or nothing
         self.next_bad_callback_log_ms = 0.0
-        self.callback_ids: dict[str, str] = {}  # of workers that have moved
 
     def send_attempt(self, attempt: Attempt) -> None:
-        """Send a request to the worker that the attempt names."""
+        """Send a request to the worker that the attempt names.
+
+        A worker gets one attempt of a request at a time, and no other after one of which it may still report
+        any outcome: a call-back names the job, but not the attempt.
+        """
         worker = self.engine.table.workers.get(attempt.worker)
-        if worker is not None and worker.uid:
-            self.callback_ids[attempt.worker] = worker.uid
         key = self._key(attempt)
-        # A worker gets one attempt of a request at a time: a cancellation in transit would end the next one.
-        if worker is None or key in self.exchanges or key in self.unconfirmed_cancels:
+        if worker is None or key in self.exchanges:
             self.engine.finish_attempt(attempt, Outcome.CONNECT_FAILED)
             return
+        # If all its reports are ambiguous, it was known by another name when it was chosen: it has moved.
+        if Outcome.OK in attempt.request.ambiguous_outcomes(attempt.callback_id):
+            self.engine.finish_attempt(attempt, Outcome.NOT_SENT, later_report=LaterReport.ANY)
+            return
         pool = self.pools.pool(worker.address)
         exchange = self.exchanges[key] = AttemptExchange(self, attempt, pool)
         pool.submit(exchange)
 
     def _key(self, attempt: Attempt) -> tuple[str, str]:
-        return attempt.request.call_id, self.callback_ids.get(attempt.worker, attempt.worker)
+        return attempt.request.call_id, attempt.callback_id
 
-    def finish(self, attempt: Attempt, outcome: Outcome, report: Mapping[str, float] | None = None) -> None:
+    def finish(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        report: Mapping[str, float] | None = None,
+        later_report: LaterReport = LaterReport.NONE,
+    ) -> None:
         """An attempt ended without a call-back."""
         if attempt.outcome is None:
             self.exchanges.pop(self._key(attempt), None)
-            self.engine.finish_attempt(attempt, outcome, report or {})
+            self.engine.finish_attempt(attempt, outcome, report or {}, later_report=later_report)
 
     def abandon_attempt(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt and tell its worker so."""
@@ -295,18 +309,7 @@
         if attempt.stage is AttemptStage.ACCEPTED or (
             attempt.stage is AttemptStage.WRITTEN and not attempt.request.closed
         ):
-            self.unconfirmed_cancels.add(key)
-            CancelExchange(
-                self.engine.clock,
-                attempt.request.call_id,
-                exchange.pool,
-                on_any_response=partial(self.unconfirmed_cancels.discard, key),
-                on_no_response=partial(self._forget_at_deadline, key, attempt.request.arrival.deadline_ms),
-            )
-
-    def _forget_at_deadline(self, key: tuple[str, str], deadline_ms: float) -> None:
-        """Send no other attempt of the job to a worker that did not respond: it may still run the first."""
-        self.engine.clock.call_at(deadline_ms, partial(self.unconfirmed_cancels.discard, key))
+            CancelExchange(self.engine.clock, attempt.request.call_id, exchange.pool)
 
     def hand_over(self, attempt: Attempt) -> str:
         """Stop waiting for the call-back of an attempt; return the id that the worker's call-backs carry."""
@@ -344,12 +347,21 @@
             del self.exchanges[self._key(attempt)]
             self.engine.on_attempt_cancelled(attempt)
 
-    def set_callback_handler(self, call_id: str, worker: str, on_ended: OnJobEnded | None) -> None:
-        """Wait for the final call-back of a job that this process did not send; None stops waiting."""
+    def set_callback_handler(
+        self,
+        call_id: str,
+        worker: str,
+        on_ended: OnJobEnded | None,
+        ambiguous_outcomes: frozenset[Outcome] = frozenset(),
+    ) -> None:
+        """Wait for the final call-back of a job that this process did not send; None stops waiting.
+
+        Call-backs with an ambiguous outcome are ignored: the worker may mean an attempt of before.
+        """
         if on_ended is None:
             self.adopted_jobs.pop((call_id, worker), None)
         else:
-            self.adopted_jobs[(call_id, worker)] = on_ended
+            self.adopted_jobs[(call_id, worker)] = AdoptedJob(on_ended, ambiguous_outcomes)
 
     def probe(self, worker: str) -> None:
         """Request the load report of a worker."""
@@ -376,20 +388,25 @@
             if not isinstance(raw.get(name), str):
                 return self._log_malformed(name, raw.get(name))
         call_id, worker, state = raw["id"], raw["from"], raw["state"]
-        exchange = self.exchanges.get((call_id, worker))
-        if exchange is None and state in OUTCOME_BY_FINAL_STATE and (call_id, worker) in self.adopted_jobs:
-            self.adopted_jobs.pop((call_id, worker))(OUTCOME_BY_FINAL_STATE[state], encode_result(raw))
+        exchange, outcome = self.exchanges.get((call_id, worker)), OUTCOME_BY_FINAL_STATE.get(state)
+        if exchange is None and outcome is not None and (call_id, worker) in self.adopted_jobs:
+            if outcome in self.adopted_jobs[(call_id, worker)].ambiguous_outcomes:
+                return self._ignore_ambiguous(call_id, worker, state)
+            self.adopted_jobs.pop((call_id, worker)).on_ended(outcome, encode_result(raw))
             return CallbackResult.ACCEPTED
         if exchange is None:
             log.debug("call_back_unknown", extra={"kv": {"call_id": call_id, "server": worker}})
             return CallbackResult.UNKNOWN
-        if state in OUTCOME_BY_FINAL_STATE:
+        if outcome is not None and outcome in exchange.attempt.request.ambiguous_outcomes(worker):
+            return self._ignore_ambiguous(call_id, worker, state)
+        exchange.has_called_back = True
+        if outcome is not None:
             del self.exchanges[(call_id, worker)]
-            if OUTCOME_BY_FINAL_STATE[state] is not Outcome.OK:
+            if outcome is not Outcome.OK:
                 exchange.log_failed_callback(state)
             report = self.reports.read_object(raw.get("load"))
             self.engine.finish_attempt(
-                exchange.attempt, OUTCOME_BY_FINAL_STATE[state], report, encode_result(raw)
+                exchange.attempt, outcome, report, encode_result(raw), later_report=LaterReport.SAME
             )
         elif state == "started":
             self.engine.on_progress(exchange.attempt, None)
@@ -401,6 +418,15 @@
             self._log_malformed("share", raw.get("share"))
         return CallbackResult.ACCEPTED
 
+    def _ignore_ambiguous(self, call_id: str, worker: str, state: str) -> CallbackResult:
+        """Log a final call-back that may be the repeat of one about an earlier attempt.
+
+        It proves nothing about the attempt in flight, which goes on until it ends in another way.
+        """
+        self.engine.counts["ambiguous_call_backs"] += 1
+        log.info("call_back_ambiguous", extra={"kv": {"call_id": call_id, "server": worker, "state": state}})
+        return CallbackResult.ACCEPTED
+
     def _log_malformed(self, name: str, value: object) -> CallbackResult:
         """Log a field of a call-back that can't be parsed, in at most one line a second."""
         now_ms = self.engine.clock.now_ms()
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -10,8 +10,8 @@
 
 from grebestack.core.api import Effect, Settings
 from grebestack.protocol.http_workers import CallbackResult
-from grebestack.routing.engine import Engine
-from grebestack.routing.requests import Attempt, Payload, Request
+from grebestack.routing.engine import NO_HISTORY, Engine
+from grebestack.routing.requests import Attempt, Payload, Request, RequestHistory
 from grebestack.transport.server import Connection, HttpRequest
 
 log = logging.getLogger(__name__)
@@ -190,6 +190,7 @@
             tenant=self.tenants.get(headers.get(b"x-caller", b""), len(self.tenants)),
             cost_ms=cost_us / 1000.0 if 0.0 < cost_us <= MAX_COST_US else None,
             retry=headers.get(b"x-again") == b"1",
+            history=history if isinstance(history := http_request.context, RequestHistory) else NO_HISTORY,
         )
         if request is None:
             connection.respond(409)
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -10,11 +10,12 @@
 from grebestack.core import api
 from grebestack.core.policy import Policy
 from grebestack.routing.interfaces import Clock, RequestListener, Workers
-from grebestack.routing.requests import Attempt, AttemptStage, Payload, Request
+from grebestack.routing.requests import Attempt, AttemptStage, Payload, Request, RequestHistory
 from grebestack.routing.worker_table import WorkerTable
 
 log = logging.getLogger(__name__)
 EMPTY_REPORT: Mapping[str, float] = {}
+NO_HISTORY = RequestHistory()
 FAULT_LOG_INTERVAL_MS = 1000.0  # an exception of the decision module is logged at most once in this time
 
 
@@ -63,21 +64,42 @@
         cost_ms: float | None = None,
         retry: bool = False,
         aged: bool = False,
+        can_wait: bool = False,
+        history: RequestHistory = NO_HISTORY,
     ) -> Request | None:
         """Accept a request; None if its call id is already open. It may be answered before this returns."""
         if call_id in self.open_by_call_id:
             return None
         self.last_number += 1
         arrival = api.RequestArrived(
-            self.last_number, job_class, deadline_ms, slots, memory, tenant, key, cost_ms, retry, aged
+            self.last_number,
+            job_class,
+            deadline_ms,
+            slots,
+            memory,
+            tenant,
+            key,
+            cost_ms,
+            retry,
+            aged,
+            can_wait,
+            history.attempt_count,
+            self._workers_that_may_report(history, api.LaterReport.SAME),
+            self._workers_that_may_report(history, api.LaterReport.ANY),
         )
-        request = Request(call_id, arrival, payload, listener)
+        request = Request(call_id, arrival, payload, listener, history)
         self.requests[self.last_number] = self.open_by_call_id[call_id] = request
         request.timer = self.clock.call_at(deadline_ms, partial(self._on_deadline, request))
         self.counts["sessions"] += 1
         self._process(arrival)
         return request
 
+    def _workers_that_may_report(
+        self, history: RequestHistory, later_report: api.LaterReport
+    ) -> tuple[str, ...]:
+        callback_ids = {e.callback_id for e in history.reported_again if e.later_report is later_report}
+        return self.table.names_of(callback_ids)
+
     def on_client_disconnected(self, request: Request) -> None:
         """Close a request without an answer. The decision module may cancel its open attempts.
 
@@ -154,7 +176,7 @@
         if attempt.outcome is None:
             if attempt.request.cancel_requested:
                 self._close_cancelled(attempt.request)
-            self.finish_attempt(attempt, api.Outcome.CANCELLED)
+            self.finish_attempt(attempt, api.Outcome.CANCELLED, later_report=api.LaterReport.ANY)
 
     def confirm_send(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be sent, and audit it if so; called before its first byte.
@@ -190,11 +212,13 @@
         outcome: api.Outcome,
         report: Mapping[str, float] = EMPTY_REPORT,
         result: bytes = b"",
+        *,
+        later_report: api.LaterReport = api.LaterReport.NONE,
     ) -> None:
         """Record how an attempt ended. Later calls are ignored: call-backs may be repeated or late."""
         if attempt.outcome is not None:
             return
-        attempt.outcome = outcome
+        attempt.outcome, attempt.later_report = outcome, later_report
         if attempt.timer is not None:
             attempt.timer.cancel()
         request = attempt.request
@@ -208,7 +232,14 @@
         elapsed = self.clock.now_ms() - attempt.sent_ms
         self._process(
             api.AttemptEnded(
-                request.number, attempt.number, attempt.worker, outcome, elapsed, request.closed, report
+                request.number,
+                attempt.number,
+                attempt.worker,
+                outcome,
+                elapsed,
+                request.closed,
+                report,
+                later_report,
             )
         )
         if request.cancel_requested and not request.open_attempts():
@@ -285,7 +316,8 @@
         if request.closed or request.cancel_requested:
             return
         now = self.clock.now_ms()
-        attempt = Attempt(request, len(request.attempts), action.worker, now, action.send_by_ms)
+        callback_id = self.table.callback_id(action.worker)
+        attempt = Attempt(request, len(request.attempts), action.worker, now, action.send_by_ms, callback_id)
         request.attempts.append(attempt)
         if action.timeout_ms is not None:
             attempt.timer = self.clock.call_at(now + action.timeout_ms, partial(self._on_timeout, attempt))
@@ -304,13 +336,18 @@
                 self.workers.cancel_attempt(attempt)
         elif attempt.outcome is None:
             self.on_audited_action("cancel", request, attempt.worker)
-            self.workers.abandon_attempt(attempt)
-            self.finish_attempt(attempt, api.Outcome.CANCELLED)
+            self._abandon(attempt, api.Outcome.CANCELLED)
 
     def _on_timeout(self, attempt: Attempt) -> None:
         if attempt.outcome is None:
-            self.workers.abandon_attempt(attempt)
-            self.finish_attempt(attempt, api.Outcome.TIMEOUT)
+            self._abandon(attempt, api.Outcome.TIMEOUT)
+
+    def _abandon(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """Stop waiting for an attempt; its worker may have it, and report it later."""
+        self.workers.abandon_attempt(attempt)
+        was_sent = attempt.stage is not AttemptStage.UNSENT
+        later_report = api.LaterReport.ANY if was_sent else api.LaterReport.NONE
+        self.finish_attempt(attempt, outcome, later_report=later_report)
 
     def _on_deadline(self, request: Request, rescheduled: bool = False) -> None:
         """Abandon all attempts and answer the request, whatever its state."""
--- a/grebestack/routing/requests.py
+++ b/grebestack/routing/requests.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from grebestack.core.api import Outcome, RequestArrived
+from grebestack.core.api import LaterReport, Outcome, RequestArrived
 from grebestack.routing.interfaces import RequestListener, Timer
 
 
@@ -38,11 +38,30 @@
     worker: str
     sent_ms: float
     send_deadline_ms: float = math.inf  # the first byte is sent by then or not at all
+    callback_id: str = ""  # the id that the call-backs of its worker carry
     stage: AttemptStage = AttemptStage.UNSENT
     outcome: Outcome | None = None
+    later_report: LaterReport = LaterReport.NONE  # once it has ended
     timer: Timer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """What must be remembered of an attempt that has ended, also by another process."""
+
+    callback_id: str
+    outcome: Outcome
+    later_report: LaterReport
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHistory:
+    """The attempts of a request before this process accepted it: their number, and those still reported."""
+
+    attempt_count: int = 0
+    reported_again: tuple[EndedAttempt, ...] = ()
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """One request of a client, which gets exactly one final answer by its deadline."""
@@ -51,6 +70,7 @@
     arrival: RequestArrived
     payload: Payload
     listener: RequestListener
+    history: RequestHistory = RequestHistory()
     attempts: list[Attempt] = field(default_factory=list)
     closed: bool = False
     cancel_requested: bool = False  # by the client: no further attempt is sent
@@ -66,6 +86,22 @@
         """Whether some attempt is not proven never to have run."""
         return any(a.outcome is None or not a.outcome.never_ran for a in self.attempts)
 
+    def reported_again(self) -> tuple[EndedAttempt, ...]:
+        """The ended attempts, here or before, that a worker may still report."""
+        own = (
+            EndedAttempt(a.callback_id, a.outcome, a.later_report)
+            for a in self.attempts
+            if a.outcome is not None and a.later_report is not LaterReport.NONE
+        )
+        return (*self.history.reported_again, *own)
+
+    def ambiguous_outcomes(self, callback_id: str) -> frozenset[Outcome]:
+        """The outcomes whose report by a worker may be about an ended attempt, and so proves nothing."""
+        ended = [e for e in self.reported_again() if e.callback_id == callback_id]
+        if any(e.later_report is LaterReport.ANY for e in ended):
+            return frozenset(Outcome)
+        return frozenset(e.outcome for e in ended)
+
     def open_attempts(self) -> list[Attempt]:
         """The attempts that have not ended."""
         return [a for a in self.attempts if a.outcome is None]
--- a/grebestack/routing/worker_table.py
+++ b/grebestack/routing/worker_table.py
@@ -107,6 +107,12 @@
         worker = self.workers.get(name)
         return name if worker is None else worker.uid or name
 
+    def names_of(self, callback_ids: set[str]) -> tuple[str, ...]:
+        """Return the names of the workers whose call-backs carry one of these ids."""
+        if not callback_ids:
+            return ()
+        return tuple(name for name in self.workers if self.callback_id(name) in callback_ids)
+
     def accepts_work(self, name: str) -> bool:
         """Whether a worker may be sent new work."""
         worker = self.workers.get(name)
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -56,6 +56,7 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
+    context: object = None  # of the handler, about a request that another process has read
 
     @property
     def path(self) -> bytes:
--- a/tests/golden_files.py
+++ b/tests/golden_files.py
@@ -18,9 +18,10 @@
 from grebestack.cluster_io.log_store import Files, LogStore, create_log
 from grebestack.config_distribution.versions import Version, digest_of
 from grebestack.consensus.log_format import encode_record
+from grebestack.core.api import Outcome
 from grebestack.hot_restart.cordon_file import encode_cordon_file
 from grebestack.job_queue.interface import Condition
-from grebestack.jobs.records import Batch, Job, JobState
+from grebestack.jobs.records import AttemptEnd, Batch, Job, JobState
 from grebestack.jobs.store import DependencyRow, JobStore
 from grebestack.program.audit_segments import RecordBatch, SegmentWriter
 from grebestack.program.cluster_member import found_cluster
@@ -160,9 +161,9 @@
     ]
     store.add_all(JOBS, edges)
     row = store.record_attempt("job-1", "runner-1", 110.5)
-    store.record_attempt_ends([("reset", False, row)])
+    store.record_attempt_ends([AttemptEnd(row, Outcome.RESET)])
     row = store.record_attempt("job-1", "runner-2", 111.5)
-    store.record_attempt_ends([("rejected", True, row)])
+    store.record_attempt_ends([AttemptEnd(row, Outcome.REJECTED)])
     store.set_drained("runner-3", True)
 
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -21,6 +21,10 @@
 from grebestack.core.checkpoint import InheritedAttempts, restore_checkpoint, save_checkpoint
 from grebestack.core.policy import Policy
 from grebestack.hot_restart import cordon_file, framing, state_machine
+from grebestack.program.hot_restart_adoption import request_history
+from grebestack.program.hot_restart_handover import queued_request_to_wire
+from grebestack.routing.requests import Attempt, EndedAttempt, Payload, Request, RequestHistory
+from grebestack.transport.server import HttpRequest
 from tests.policy_driver import IDEMPOTENT, IDEMPOTENT_WITH_KEY, NOT_IDEMPOTENT, settings
 from tests.standins import (
     SETTINGS,
@@ -338,6 +342,32 @@
     assert testbed.job_runs.counts["held"] == 1
 
 
+def test_a_request_handed_over_takes_the_workers_along_that_may_repeat_a_call_back() -> None:
+    # Guards against a successor that sends a request to a worker whose repeated hand-back then ends it.
+    arrival = core.RequestArrived(1, 0, 9000.0, earlier_attempts=1)
+    listener: Any = None
+    request = Request("a", arrival, Payload(b"", b""), listener)
+    request.attempts = [
+        Attempt(request, 0, "w0", 1.0, callback_id="w0", outcome=core.Outcome.CONNECT_FAILED),
+        Attempt(
+            request,
+            1,
+            "w1",
+            1.0,
+            callback_id="w1",
+            outcome=core.Outcome.REJECTED,
+            later_report=core.LaterReport.SAME,
+        ),
+    ]
+    (packet,) = framing.pack(queued_request_to_wire(request, HttpRequest(b"POST", b"/api")))
+    message = framing.Unpacker().feed(packet)
+    assert message is not None
+    repeated = EndedAttempt("w1", core.Outcome.REJECTED, core.LaterReport.SAME)
+    assert request_history(message) == RequestHistory(3, (repeated,))
+    del message["attempts"], message["reported_again"]  # as a process of the former edition sends it
+    assert request_history(message) == RequestHistory()
+
+
 def test_a_request_that_outlasts_the_predecessor_is_answered_by_the_successor(
     testbed: DispatcherTestbed,
 ) -> None:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -10,7 +10,7 @@
 import pytest
 
 from grebestack.core import api
-from grebestack.core.api import Outcome
+from grebestack.core.api import LaterReport, Outcome
 from grebestack.drmaa.errors import DrmaaError
 from grebestack.drmaa.template import TemplateConverter
 from grebestack.job_queue.interface import JobStage
@@ -35,6 +35,7 @@
         self.engine, self.sent_attempts, self.unsent_attempts = engine, list[Attempt](), list[Attempt]()
         self.delayed = False
         self.callback_handlers: dict[str, Callable[[Outcome, bytes], None] | None] = {}
+        self.ambiguous_outcomes: dict[str, frozenset[Outcome]] = {}
         self.abandoned: dict[
             str, Callable[[], None]
         ] = {}  # by call id: to be called as the worker's response
@@ -62,9 +63,14 @@
         pass
 
     def set_callback_handler(
-        self, call_id: str, worker: str, on_ended: Callable[[Outcome, bytes], None] | None
+        self,
+        call_id: str,
+        worker: str,
+        on_ended: Callable[[Outcome, bytes], None] | None,
+        ambiguous_outcomes: frozenset[Outcome] = frozenset(),
     ) -> None:
         self.callback_handlers[call_id] = on_ended
+        self.ambiguous_outcomes[call_id] = ambiguous_outcomes
 
     def cancel_job(self, worker: str, call_id: str, on_confirmed: Callable[[], None]) -> None:
         pass
@@ -173,12 +179,14 @@
     def state(self, job: str) -> JobState:
         return self.service.find(job).state
 
-    def end(self, job: str, outcome: Outcome = Outcome.OK) -> None:
+    def end(
+        self, job: str, outcome: Outcome = Outcome.OK, later_report: LaterReport = LaterReport.NONE
+    ) -> None:
         """End the newest attempt of a job."""
         attempt = next(
             attempt for attempt in reversed(self.workers.sent_attempts) if attempt.request.call_id == job
         )
-        self.engine.finish_attempt(attempt, outcome, result=b"done")
+        self.engine.finish_attempt(attempt, outcome, result=b"done", later_report=later_report)
 
     def drain(self, drained: bool) -> None:
         for n in range(self.worker_count):
@@ -473,7 +481,7 @@
     dependant = harness.submit_queued("f", "over", "open")
     harness.end("open")
     assert harness.sent_jobs() == ["open", dependant]
-    harness.store.db.execute("PRAGMA user_version = 3")
+    harness.store.db.execute(f"PRAGMA user_version = {store_module.VERSION + 1}")
     harness.store.close()
     with pytest.raises(StoreError, match="newer version"):
         JobStore(str(path))
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -10,7 +10,7 @@
 
 from grebestack.core import api
 from grebestack.core.api import Outcome
-from grebestack.routing.requests import AttemptStage
+from grebestack.routing.requests import Attempt, AttemptStage
 from grebestack.transport import client as transport
 from tests.loop_dispatcher import WAIT_TIMEOUT_S, Client, InProcessDispatcher, Peer, run_with_dispatcher
 
@@ -306,6 +306,45 @@
     run_with_dispatcher(test, worker_count=2)
 
 
+@pytest.mark.parametrize(
+    ("state", "job_class"), [("returned", "order"), ("failed", "book"), ("lost", "book")]
+)
+def test_a_repeated_call_back_of_an_earlier_attempt_does_not_end_the_next_one(
+    state: str, job_class: str
+) -> None:
+    # Guards against an order that runs twice because the answer to its hand-back was lost.
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        client = dispatcher.client()
+        dispatcher.engine.policy.estimates.run_ms[:] = [10.0] * 3
+        client.send_job("a", job_class)
+
+        def count_attempts() -> int:
+            return sum(data.count(b"POST ") for peer in dispatcher.peers for data in peer.complete_requests())
+
+        async def accepted_attempt(count: int) -> Attempt:
+            await dispatcher.wait_until(lambda: count_attempts() == count)
+            (attempt,) = dispatcher.engine.open_by_call_id["a"].open_attempts()
+            peer = dispatcher.peers[int(attempt.worker.removeprefix("s"))]
+            await dispatcher.wait_until(lambda: attempt.stage is AttemptStage.WRITTEN)
+            peer.send(max(peer.received), ACCEPTED_RESPONSE)
+            await dispatcher.wait_until(lambda: attempt.stage is AttemptStage.ACCEPTED)
+            return attempt
+
+        for count in (1, 2):  # both workers end their first attempt
+            first = await accepted_attempt(count)
+            dispatcher.call_back("a", first.worker, state)
+        last = await accepted_attempt(3)
+        for worker in ("s0", "s1"):
+            dispatcher.call_back("a", worker, state)
+        await dispatcher.run_loop()
+        assert last.outcome is None and count_attempts() == 3
+        dispatcher.call_back("a", last.worker, result="right")
+        await dispatcher.wait_until(lambda: client.status)
+        assert client.received.endswith(b"right")
+
+    run_with_dispatcher(test, worker_count=2)
+
+
 def test_a_reset_after_the_202_does_not_end_the_request() -> None:
     async def test(dispatcher: InProcessDispatcher) -> None:
         client, (peer,) = dispatcher.client(), dispatcher.peers
