Hand connections over only as fast as the successor reads, and take back what it was not written

What callers saw: an upgrade with 60 open jobs of 60 KiB ended 35 clients' connections without an answer. Cause: Channel.send closed the channel once 8 MiB waited, though all of it had been queued in one turn in which the peer could not read; Channel.close closed the descriptors of the waiting packets, which were the clients' connections. Ruled out: a slow successor (it was idle), descriptors in flight (no ETOOMANYREFS; the log says "the peer does not read"). Change: the bound holds the sender back. Handover detaches the next connection only when nothing waits for the successor and goes on when the channel has drained, 16 a turn; what is unwritten when the channel closes, or shortly before the kill, is adopted by this process again.

--- a/grebestack/program/hot_restart.py
+++ b/grebestack/program/hot_restart.py
@@ -6,7 +6,7 @@
 import logging
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
 from grebestack.admin.commands import Command, CommandResponse, Verb
@@ -49,7 +49,7 @@
         self.cordon_file = os.path.join(path, CORDON_FILE_NAME)
         self.rendezvous = RendezvousListener(self.loop, path)
         self.state_machine = state_machine.HotRestart()
-        self.channels = PeerChannels(self.loop, self._on_message, self._on_lost)
+        self.channels = PeerChannels(self.loop, self)
         self.handover = Handover(dispatcher, self.channels)
         self.adoption = Adoption(dispatcher)
         self.callbacks_by_query: dict[int, Callable[[bool | None], None]] = {}
@@ -59,7 +59,7 @@
         self._action_handlers = self._action_handler_table()
         dispatcher.platform_api.query_other_process = self.offer_callback
         dispatcher.platform_api.is_open_elsewhere = self._is_open_elsewhere
-        dispatcher.engine.on_request_closed = self._on_request_closed
+        dispatcher.engine.on_request_closed = self.handover.on_request_closed
 
     def _action_handler_table(self) -> dict[type[state_machine.Action], Callable[[Any], None]]:
         return {
@@ -133,9 +133,24 @@
         if (successor := self.state_machine.successor) is not None:
             self.handover.hand_over_in_flight(successor)
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether something is yet to be written to the successor, or was taken back and is not open yet."""
+        successor = self.state_machine.successor
+        is_writing = successor is not None and not self.channels.is_idle(successor)
+        return is_writing or bool(self.adoption.tasks)
+
+    def take_back_unwritten(self) -> None:
+        """Part from a successor that does not read: what was to go there is answered here before the kill."""
+        successor = self.state_machine.successor
+        if successor is not None and not self.channels.is_idle(successor):
+            self._disconnect(state_machine.Disconnect(successor, "it does not read, and this process ends"))
+            self._execute(self.state_machine.on_peer_lost(successor))
+
     # Events.
 
-    def _on_message(self, peer: int, message: Message, descriptors: list[int]) -> None:
+    def on_peer_message(self, peer: int, message: Message, descriptors: list[int]) -> None:
+        """Adopt what a message hands over, or pass it to the state machine."""
         from_predecessor = peer == self.state_machine.predecessor
         is_handover = from_predecessor and bool(descriptors) and self.adoption.handles(message)
         if is_handover:
@@ -145,7 +160,19 @@
         if not is_handover:
             self._execute(self.state_machine.on_message(peer, message))
 
-    def _on_lost(self, peer: int, reason: str) -> None:
+    def on_peer_drained(self, peer: int) -> None:
+        """Hand over more, now that the successor has read."""
+        if peer == self.state_machine.successor:
+            self.handover.proceed(peer)
+
+    def on_unsent(self, message: Message, descriptors: Sequence[int]) -> None:
+        """Serve what was to be handed over and was not written: its client is still this process's."""
+        if descriptors:
+            log.info("upgrade_taken_back", extra={"kv": {"what": messages.message_type(message)}})
+            self.adoption.adopt(descriptors[0], message)
+
+    def on_peer_lost(self, peer: int, reason: str) -> None:
+        """Log the loss and pass it to the state machine."""
         log.info("upgrade_parted", extra={"kv": {"role": self._role_in_log(peer), "why": reason}})
         self._execute(self.state_machine.on_peer_lost(peer))
 
@@ -154,11 +181,6 @@
             return "elder"
         return "heir" if peer == self.state_machine.successor else "other"
 
-    def _on_request_closed(self, call_id: str) -> None:
-        machine = self.state_machine
-        if machine.successor is not None and not machine.accepting:
-            self.channels.send(machine.successor, messages.request_closed(call_id))
-
     def _is_open_elsewhere(self, call_id: str) -> bool:
         return call_id in self.state_machine.predecessor_open_ids or call_id in self.adoption.in_flight_ids
 
--- a/grebestack/program/hot_restart_adoption.py
+++ b/grebestack/program/hot_restart_adoption.py
@@ -79,7 +79,8 @@
             http_workers.set_callback_handler(call_id, worker, None)  # its call-back is no longer awaited
             on_ended(Outcome.TIMEOUT, b"")
 
-        timer = self.dispatcher.clock.call_at(deadline_ms, on_deadline)
+        answer_by_ms = self.dispatcher.platform_api.deadline_before_kill_ms(deadline_ms)
+        timer = self.dispatcher.clock.call_at(answer_by_ms, on_deadline)
         self.in_flight_ids.add(call_id)
         ambiguous = frozenset(Outcome(value) for value in message.get("ambiguous", ()))
         http_workers.set_callback_handler(call_id, worker, on_ended, ambiguous)
--- a/grebestack/program/hot_restart_handover.py
+++ b/grebestack/program/hot_restart_handover.py
@@ -4,29 +4,38 @@
 
 import asyncio
 import logging
-from collections.abc import Iterator
 from functools import partial
 
 from grebestack.hot_restart import messages
 from grebestack.hot_restart.messages import Message
 from grebestack.program.hot_restart_interface import RestartableDispatcher
 from grebestack.program.hot_restart_peers import PeerChannels
+from grebestack.program.hot_restart_reports import SuccessorReports
 from grebestack.protocol.platform import PlatformResponder
 from grebestack.routing.requests import Attempt, Request
 from grebestack.transport.server import Connection, HttpRequest
 
 log = logging.getLogger(__name__)
-QUEUED_REQUESTS_INTERVAL_S = 0.1  # between two searches for requests not yet sent to a worker
+HANDOVER_INTERVAL_S = 0.1  # between two searches for connections and requests that can move
 CONNECTION_RETRY_S = 0.005  # before a connection with an unsent response is tried again
+MAX_HANDOVERS_PER_TURN = 16  # of the event loop, which also serves clients
 MAX_LISTED = 20_000  # call ids, and attempts, that are sent to a successor
+MAX_LISTED_BYTES = 3 * 1024 * 1024  # of call ids: JSON may double them, and a message is refused over 8 MiB
 
 
 class Handover:
-    """Hands connections and requests over to the successor, as long as there is one."""
+    """Hands connections and requests over to the successor, as long as there is one.
+
+    They stay this process's until the channel takes them: each is handed over only when nothing waits to be
+    written to the successor, and what is not written by the time the channel closes comes back.
+    """
 
     def __init__(self, dispatcher: RestartableDispatcher, channels: PeerChannels) -> None:
         """Start without a successor."""
         self.dispatcher, self.channels = dispatcher, channels
+        self.reports: SuccessorReports | None = None
+        self.includes_in_flight = False
+        self.handed_over_in_turn = 0
         self.retry_timer: asyncio.TimerHandle | None = None
 
     def begin(self, successor: int) -> None:
@@ -36,9 +45,7 @@
         dispatcher.lifecycle.retire(True, dispatcher.clock.now_ms())
         dispatcher.apply_lifecycle()
         self._send_open_requests(successor)
-        self._report_attempts(successor)
-        self._hand_over_connections(successor)
-        self._hand_over_queued(successor)
+        self._hand_over_at_intervals(successor)
         kept = {
             "open": len(dispatcher.engine.open_by_call_id),
             "kept": len(dispatcher.acceptor.connections),
@@ -48,40 +55,50 @@
     def end(self) -> None:
         """Keep clients and stop reporting attempts: there is no successor any more."""
         dispatcher = self.dispatcher
+        self.reports, self.includes_in_flight = None, False
         dispatcher.acceptor.hand_over_idle = None
         dispatcher.engine.on_attempt_sent = dispatcher.engine.on_attempt_ended = lambda attempt: None
         dispatcher.lifecycle.retire(False, dispatcher.clock.now_ms())
 
     def hand_over_in_flight(self, successor: int) -> None:
-        """Hand over the requests that workers run; called shortly before this process exits."""
-        for request, responder in self._movable_requests(successor):
-            attempt = self.dispatcher.engine.hand_over(request)
-            if attempt is None:
-                continue
-            worker = self.dispatcher.http_workers.hand_over(attempt)
-            ambiguous = sorted(outcome.value for outcome in request.ambiguous_outcomes(worker))
-            deadline_ms = request.arrival.deadline_ms
-            message = messages.in_flight_request(deadline_ms, worker, request.call_id, ambiguous)
-            self._send_request(successor, responder, message)
+        """Hand over the requests that workers run as well; called shortly before this process exits."""
+        self.includes_in_flight = True
+        self.proceed(successor)
+
+    def proceed(self, successor: int) -> None:
+        """Hand over what can move now, until the successor has to read first."""
+        if self.reports is not None:
+            self.reports.flush()
+        if not self._may_hand_over(successor):
+            return
+        self._hand_over_requests(successor)
+        self.dispatcher.acceptor.hand_over(partial(self._hand_over_connection, successor))
+
+    def on_request_closed(self, call_id: str) -> None:
+        """A request of this process has been answered."""
+        if self.reports is not None:
+            self.reports.on_request_closed(call_id)
 
     def _send_open_requests(self, successor: int) -> None:
+        """Announce the open requests and attempts, and report from now on what becomes of them."""
         engine = self.dispatcher.engine
         attempts = [
             self._attempt_to_wire(attempt)
             for request in engine.requests.values()
             for attempt in request.open_attempts()
-        ]
-        open_call_ids = list(engine.open_by_call_id)[-MAX_LISTED:]
-        self.channels.send(successor, messages.handed_over(open_call_ids, attempts[-MAX_LISTED:]))
+        ][-MAX_LISTED:]
+        open_call_ids = newest_call_ids(list(engine.open_by_call_id))
+        self.channels.send(successor, messages.handed_over(open_call_ids, attempts))
+        keys = (attempt["key"] for attempt in attempts)
+        reports = self.reports = SuccessorReports(self.channels, successor, open_call_ids, keys)
 
-    def _report_attempts(self, successor: int) -> None:
         def on_sent(attempt: Attempt) -> None:
-            self.channels.send(successor, messages.attempt_sent(self._attempt_to_wire(attempt)))
+            reports.on_attempt_sent(attempt_key(attempt), self._attempt_to_wire(attempt))
 
         def on_ended(attempt: Attempt) -> None:
-            self.channels.send(successor, messages.attempt_ended(attempt_key(attempt)))
+            reports.on_attempt_ended(attempt_key(attempt))
 
-        self.dispatcher.engine.on_attempt_sent, self.dispatcher.engine.on_attempt_ended = on_sent, on_ended
+        engine.on_attempt_sent, engine.on_attempt_ended = on_sent, on_ended
 
     def _attempt_to_wire(self, attempt: Attempt) -> Message:
         arrival, classes = attempt.request.arrival, self.dispatcher.engine.settings.classes
@@ -94,52 +111,103 @@
             "class": classes[arrival.job_class].name,
         }
 
+    # When something may move.
+
     def _may_hand_over(self, successor: int) -> bool:
         return successor in self.channels and self.dispatcher.lifecycle.retired
 
-    def _hand_over_connections(self, successor: int) -> None:
-        self.retry_timer = None
+    def _take_turn(self, successor: int) -> bool:
+        """Whether one more connection may be handed over in this turn of the event loop."""
+        if not (self._may_hand_over(successor) and self.channels.is_idle(successor)):
+            return False  # `proceed` is called once all is written
+        if self.handed_over_in_turn >= MAX_HANDOVERS_PER_TURN:
+            return False
+        if not self.handed_over_in_turn:
+            self.dispatcher.loop.call_soon(self._on_next_turn, successor)
+        self.handed_over_in_turn += 1
+        return True
+
+    def _on_next_turn(self, successor: int) -> None:
+        may_be_more = self.handed_over_in_turn >= MAX_HANDOVERS_PER_TURN
+        self.handed_over_in_turn = 0
+        if may_be_more:
+            self.proceed(successor)
+
+    def _hand_over_at_intervals(self, successor: int) -> None:
         if self._may_hand_over(successor):
-            self.dispatcher.acceptor.hand_over(partial(self._hand_over_connection, successor))
+            self.proceed(successor)
+            loop = self.dispatcher.loop
+            loop.call_later(HANDOVER_INTERVAL_S, self._hand_over_at_intervals, successor)
+
+    def _retry_soon(self, successor: int) -> None:
+        if self.retry_timer is None:
+            loop = self.dispatcher.loop
+            self.retry_timer = loop.call_later(CONNECTION_RETRY_S, self._on_retry, successor)
+
+    def _on_retry(self, successor: int) -> None:
+        self.retry_timer = None
+        self.proceed(successor)
+
+    # Connections and requests.
 
     def _hand_over_connection(self, successor: int, connection: Connection, idle: bool) -> bool:
         """Hand over a client's connection, with the received bytes that were not read yet."""
-        if successor not in self.channels or connection.busy:
+        if connection.busy or successor not in self.channels:
             return False
         if not connection.can_detach():
-            self._retry_connections(successor)
+            self._retry_soon(successor)
+            return False
+        if not self._take_turn(successor):
             return False
         message = messages.connection(connection.is_client, idle)
-        self.channels.send(successor, message, [connection.detach()])
+        self.channels.hand_over(successor, message, connection.detach())
         return True
 
-    def _retry_connections(self, successor: int) -> None:
-        if self.retry_timer is None:
-            loop = self.dispatcher.loop
-            self.retry_timer = loop.call_later(CONNECTION_RETRY_S, self._hand_over_connections, successor)
-
-    def _hand_over_queued(self, successor: int) -> None:
-        """Hand over the requests not yet sent to a worker, now and at intervals."""
-        if not self._may_hand_over(successor):
-            return
-        self.dispatcher.loop.call_later(QUEUED_REQUESTS_INTERVAL_S, self._hand_over_queued, successor)
-        for request, responder in self._movable_requests(successor):
-            if self.dispatcher.engine.withdraw_unsent(request):
-                message = queued_request_to_wire(request, responder.http_request)
-                self._send_request(successor, responder, message)
-
-    def _movable_requests(self, successor: int) -> Iterator[tuple[Request, PlatformResponder]]:
-        """The open requests whose clients' connections can be handed over, until the successor is gone."""
+    def _hand_over_requests(self, successor: int) -> None:
+        """Hand over the requests that no worker has, and on request those that one worker runs."""
         for request in self.dispatcher.engine.open_requests():
-            if not self._may_hand_over(successor):
-                return
             responder = request.listener
-            if isinstance(responder, PlatformResponder) and responder.connection.can_detach():
-                yield request, responder
+            if not (isinstance(responder, PlatformResponder) and responder.connection.can_detach()):
+                continue
+            if not request.may_have_run:
+                if not self._take_turn(successor):
+                    return
+                self._hand_over_queued(successor, request, responder)
+            elif self.includes_in_flight and self.dispatcher.engine.can_hand_over(request):
+                if not self._take_turn(successor):
+                    return
+                self._hand_over_running(successor, request, responder)
+
+    def _hand_over_queued(self, successor: int, request: Request, responder: PlatformResponder) -> None:
+        if self.dispatcher.engine.withdraw_unsent(request):
+            message = queued_request_to_wire(request, responder.http_request)
+            self._send_request(successor, responder, message)
+
+    def _hand_over_running(self, successor: int, request: Request, responder: PlatformResponder) -> None:
+        attempt = self.dispatcher.engine.hand_over(request)
+        if attempt is None:
+            return
+        worker = self.dispatcher.http_workers.hand_over(attempt)
+        ambiguous = sorted(outcome.value for outcome in request.ambiguous_outcomes(worker))
+        deadline_ms = request.arrival.deadline_ms
+        message = messages.in_flight_request(deadline_ms, worker, request.call_id, ambiguous)
+        self._send_request(successor, responder, message)
 
     def _send_request(self, successor: int, responder: PlatformResponder, message: Message) -> None:
         responder.connection.handler_data = None
-        self.channels.send(successor, message, [responder.connection.detach()])
+        self.channels.hand_over(successor, message, responder.connection.detach())
+
+
+def newest_call_ids(call_ids: list[str]) -> list[str]:
+    """The newest call ids that a message has room for, oldest first."""
+    newest: list[str] = []
+    size_bytes = 0
+    for call_id in reversed(call_ids[-MAX_LISTED:]):
+        size_bytes += len(call_id)
+        if size_bytes > MAX_LISTED_BYTES:
+            break
+        newest.append(call_id)
+    return newest[::-1]
 
 
 def attempt_key(attempt: Attempt) -> str:
--- a/grebestack/program/lifecycle_control.py
+++ b/grebestack/program/lifecycle_control.py
@@ -19,6 +19,7 @@
     from grebestack.program.hot_restart import HotRestartRunner
 
 log = logging.getLogger(__name__)
+_HANDOVER_TIMEOUT_S = 0.3  # from that handover, for the successor to read
 _READ_ANSWER_S = 0.5  # a stop waits this long for a client to read its last answer or to finish its request
 _HANDOVER_BEFORE_DEADLINE_S = 0.6  # between the handover of the last requests and their late answers
 _IDLE_CHECK_INTERVAL_S = 0.02
@@ -92,6 +93,8 @@
         if dispatcher.hot_restart is not None:
             handover_s = max(0.0, (deadline_ms - now_ms) / 1000.0 - _HANDOVER_BEFORE_DEADLINE_S)
             dispatcher.loop.call_later(handover_s, dispatcher.hot_restart.hand_over_in_flight)
+            take_back_s = handover_s + _HANDOVER_TIMEOUT_S
+            dispatcher.loop.call_later(take_back_s, dispatcher.hot_restart.take_back_unwritten)
         self.apply()
 
     def _end_when_idle(self) -> None:
@@ -103,6 +106,8 @@
         longest_ms = KILL_DEADLINE_MS if retired else self._longest_deadline_ms()
         deadline_ms = dispatcher.lifecycle.late_answer_deadline_ms(longest_ms)
         has_unfinished = dispatcher.acceptor.has_unfinished_requests(math.inf if retired else _READ_ANSWER_S)
+        if dispatcher.hot_restart is not None:
+            has_unfinished = has_unfinished or dispatcher.hot_restart.is_handing_over
         is_overdue = dispatcher.engine.clock.now_ms() >= deadline_ms
         if dispatcher.engine.open_by_call_id or (has_unfinished and not is_overdue):
             dispatcher.loop.call_later(_IDLE_CHECK_INTERVAL_S, self._end_when_idle)
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -96,9 +96,11 @@
     def _deadline_ms(self, limit_ms: float) -> float:
         """Return the deadline of a job that has just arrived with this time limit."""
         deadline_ms = self.engine.clock.now_ms() + limit_ms - DEADLINE_MARGIN_MS
-        if deadline_ms > self.kill_ms:
-            deadline_ms = self.answer_by_ms
-        return min(deadline_ms, self.latest_deadline_ms)
+        return min(self.deadline_before_kill_ms(deadline_ms), self.latest_deadline_ms)
+
+    def deadline_before_kill_ms(self, deadline_ms: float) -> float:
+        """Return a deadline, or the time to answer by if this process is killed before it."""
+        return self.answer_by_ms if deadline_ms > self.kill_ms else deadline_ms
 
     # The transport's handler.
 
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -131,15 +131,20 @@
         self._process(api.RequestDropped(request.number))
         return True
 
+    def can_hand_over(self, request: Request) -> bool:
+        """Whether exactly one attempt is open and its worker has confirmed that it has the job."""
+        open_attempts = request.open_attempts()
+        is_accepted = len(open_attempts) == 1 and open_attempts[0].stage is AttemptStage.ACCEPTED
+        return is_accepted and not request.closed
+
     def hand_over(self, request: Request) -> Attempt | None:
         """Release a request to another process and return its open attempt; None if that is not possible.
 
-        It is possible if exactly one attempt is open and its worker has confirmed that it has the job.
         Neither client nor worker is notified, nor the decision module, which ends with this process.
         """
-        open_attempts = request.open_attempts()
-        if request.closed or len(open_attempts) != 1 or open_attempts[0].stage is not AttemptStage.ACCEPTED:
+        if not self.can_hand_over(request):
             return None
+        open_attempts = request.open_attempts()
         self._close(request)
         self.requests.pop(request.number, None)
         for timer in (request.timer, open_attempts[0].timer):
--- a/tests/golden_handover.py
+++ b/tests/golden_handover.py
@@ -29,6 +29,8 @@
 class RecordingChannel:
     """Records the messages that are sent."""
 
+    is_idle, is_full = True, False
+
     def __init__(self) -> None:
         self.messages: list[dict[str, Any]] = []
 
