Wait for the result of an earlier attempt until the job ends, whatever answers the give-up

What callers saw: after one kill of an appliance the result of a reading was answered 204 and thrown away; the reading ended FAILED. Cause: any answer to the DELETE that gives an attempt of before a restart up, also 404, ended the wait for its call-back. Change: the handler stays until the job ends; a result ends the job in the queue, in the engine or at another runner (Engine.serve); failures of that attempt are ignored, since they prove nothing of a later one.

--- a/grebestack/jobs/recovery.py
+++ b/grebestack/jobs/recovery.py
@@ -121,7 +121,11 @@
             service.engine.clock.call_at(service.engine.clock.now_ms() + WORKER_LOOKUP_INTERVAL_MS, next_try)
 
     def _retry(self, job_id: str, limit: RetryLimit) -> None:
-        """Return a job to the queue after its worker has confirmed that it gave up the earlier attempt."""
+        """Return a job to the queue after its worker has answered that it should give up the earlier attempt.
+
+        The answer may be an error, which says nothing of whether the job ran, or cross the worker's
+        call-back: a result of that attempt still ends the job.
+        """
         service = self.service
         released_job = service.released_jobs.get(job_id)
         if (
@@ -134,7 +138,11 @@
         log.info("job_sent_again", extra={"kv": {"job": job_id, "server": released_job.earlier_worker}})
         if released_job.timer is not None:
             released_job.timer.cancel()
-        service.workers.set_callback_handler(job_id, released_job.earlier_worker, None)
+        on_result = partial(self._on_earlier_result, job_id)
+        service.workers.set_callback_handler(
+            job_id, released_job.earlier_worker, on_result, frozenset(FAILURES)
+        )
+        service.awaited_results[job_id] = released_job.earlier_worker
         service.late_reports.add(job_id, released_job.earlier_worker, FAILURES)
         service.retry_limits[job_id] = limit
         service.store.set_state(job_id, JobState.REQUEUED)
@@ -144,6 +152,15 @@
             )
         service.return_to_queue(released_job, 0.0)
 
+    def _on_earlier_result(self, job_id: str, outcome: Outcome, result: bytes) -> None:
+        """End a job with the result of an attempt from before the restart, wherever the job is by now."""
+        released_job = self.service.released_jobs.get(job_id)
+        log.info("job_result_of_before", extra={"kv": {"job": job_id, "outcome": outcome.value}})
+        if released_job is not None and released_job.request is not None:
+            self.service.engine.serve(released_job.request, result)
+        else:
+            self.service.finish(job_id, JobState.DONE, result=result)
+
     def _retry_expired(self, job_id: str) -> None:
         """End a job that may not be sent again any more, unless it is being sent."""
         if job_id not in self.service.retry_limits:
--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -113,6 +113,9 @@
         self.ready_times: dict[str, float | None] = {}  # not recorded yet
         self.attempt_ends: list[AttemptEnd] = []  # not recorded yet
         self.late_reports = LateReports(wall_clock)
+        self.awaited_results: dict[
+            str, str
+        ] = {}  # by job: the worker that may report one from before a restart
         self.recording_scheduled = self.availability_check_scheduled = False
         self.batch_intake, self.recovery = BatchIntake(self), JobRecovery(self)
         self._check_availability()
@@ -366,6 +369,9 @@
         self.direct_jobs.discard(job_id)
         self.retry_limits.pop(job_id, None)
         self.late_reports.forget(job_id)
+        worker = self.awaited_results.pop(job_id, None)
+        if worker is not None:
+            self.workers.set_callback_handler(job_id, worker, None)
 
     # Submissions.
 
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -108,11 +108,15 @@
         """
         if self._close(request):
             self.counts["gone"] += 1
-            self._process(api.RequestDropped(request.number))
-            for attempt in request.open_attempts():
-                if attempt.stage is AttemptStage.UNSENT:
-                    self.workers.abandon_attempt(attempt)
-                    self.finish_attempt(attempt, api.Outcome.CANCELLED)
+            self._drop(request)
+
+    def _drop(self, request: Request) -> None:
+        """Let the decision module cancel the attempts of a closed request, and abandon the unsent ones."""
+        self._process(api.RequestDropped(request.number))
+        for attempt in request.open_attempts():
+            if attempt.stage is AttemptStage.UNSENT:
+                self.workers.abandon_attempt(attempt)
+                self.finish_attempt(attempt, api.Outcome.CANCELLED)
 
     def shorten_deadline(self, request: Request, deadline_ms: float) -> None:
         """Answer a request by an earlier deadline. A successor that takes it over uses the original one."""
@@ -131,6 +135,13 @@
         self._process(api.RequestDropped(request.number))
         return True
 
+    def serve(self, request: Request, result: bytes) -> None:
+        """Answer a request with a result that arrived by another way; its open attempts are cancelled."""
+        if self._close(request):
+            self.counts["served"] += 1
+            request.listener.on_served(request, result)
+            self._drop(request)
+
     def can_hand_over(self, request: Request) -> bool:
         """Whether exactly one attempt is open and its worker has confirmed that it has the job."""
         open_attempts = request.open_attempts()
--- a/tests/test_jobs_after_restart.py
+++ b/tests/test_jobs_after_restart.py
@@ -150,3 +150,42 @@
     wait_until(lambda: client.state(job) in ("DONE", "FAILED"))
     assert client.state(job) == "DONE" and max(testbed.job_runs.counts.values()) == 1
     assert runner.cancelled == [job]
+
+
+@pytest.mark.parametrize("is_sent_again", [False, True])
+def test_a_result_that_comes_after_the_answer_to_a_give_up_ends_the_job(
+    harness: RestartHarness, is_sent_again: bool
+) -> None:
+    # Guards against a result that is answered 204 and thrown away because a give-up was answered by 404.
+    job = harness.submit("k", "view")
+    harness.crash()
+    harness.clock.advance(200.0)
+    if not is_sent_again:
+        harness.drain(True)  # no other worker has room
+    harness.workers.abandoned.pop(job)()
+    harness.clock.advance(500.0)
+    assert harness.sent_jobs() == [job] * is_sent_again
+    on_result = harness.workers.callback_handlers[job]
+    assert on_result is not None
+    on_result(Outcome.OK, b"late")
+    harness.clock.advance(500.0)
+    assert harness.ended_jobs[job].result == b"late" and harness.ended_jobs[job].state is JobState.DONE
+    assert harness.workers.callback_handlers[job] is None
+
+
+def test_a_result_from_before_a_restart_is_taken_though_the_worker_no_longer_knows_the_job(
+    testbed: DispatcherTestbed,
+) -> None:
+    # The same with real processes: the worker answers 404 to the give-up, and calls back once more.
+    runner = testbed.add_worker("s-1", seconds=60.0)
+    testbed.start_from_operator_file()
+    client = Client(testbed)
+    job = client.run("k", {"jobCategory": "reading"})
+    wait_until(lambda: len(runner.jobs) == 1)
+    testbed.kill()
+    runner.status = 503  # it has no room for the job when it is sent again
+    testbed.start_from_operator_file()
+    wait_until(lambda: runner.cancelled == [job] and len(runner.jobs) > 1)
+    assert runner.call_back(job, state="done", result="of before") == 204
+    wait_until(lambda: client.state(job) in ("DONE", "FAILED"))
+    assert client.state(job) == "DONE"
