Evaluate a server again once its held-back removal ends

What callers saw: the operators' view showed a listed server as suspect; it went on getting work. Cause: a status is evaluated only if the report has changed, and a server that is listed again has the same report. Ruled out: the two other places that end a held-back removal; they mark what they remove.

--- a/grebestack/membership/members.py
+++ b/grebestack/membership/members.py
@@ -186,6 +186,7 @@
                 if known != report:
                     self.changed[worker_id] = None
                 reports[worker_id] = report
+        self._mark_changed(source.held_removals & named)  # listed again, perhaps with the same report
         source.held_removals -= named
         missing = set(event.removed) & reports.keys()
         if event.is_complete and len(named) < len(reports):
