--- a/grebestack/program/hot_restart_handover.py
+++ b/grebestack/program/hot_restart_handover.py
@@ -165,15 +165,16 @@
 
     def _hand_over_requests(self, successor: int) -> None:
         """Hand over the requests that no worker has, and on request those that one worker runs."""
-        for request in self.dispatcher.engine.open_requests():
+        engine = self.dispatcher.engine
+        for request in engine.open_requests():
             responder = request.listener
             if not (isinstance(responder, PlatformResponder) and responder.connection.can_detach()):
                 continue
-            if not request.may_have_run:
+            if engine.can_withdraw(request):
                 if not self._take_turn(successor):
                     return
                 self._hand_over_queued(successor, request, responder)
-            elif self.includes_in_flight and self.dispatcher.engine.can_hand_over(request):
+            elif self.includes_in_flight and engine.can_hand_over(request):
                 if not self._take_turn(successor):
                     return
                 self._hand_over_running(successor, request, responder)
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -127,10 +127,15 @@
         request.timer = self.clock.call_at(deadline_ms, partial(self._on_deadline, request))
         self._process(api.DeadlineShortened(request.number, deadline_ms))
 
+    def can_withdraw(self, request: Request) -> bool:
+        """Whether a request is open and no worker can have executed it."""
+        return not (request.closed or request.may_have_run)
+
     def withdraw_unsent(self, request: Request) -> bool:
         """Close a request without an answer if no worker can have executed it; return whether it was."""
-        if request.may_have_run or not self._close(request):
+        if not self.can_withdraw(request):
             return False
+        self._close(request)
         self.counts["withdrawn"] += 1
         self._process(api.RequestDropped(request.number))
         return True
--- a/tests/golden_handover.py
+++ b/tests/golden_handover.py
@@ -124,6 +124,7 @@
     engine.on_attempt_ended(request.attempts[0])
     engine.on_request_closed("job-1")
     dispatcher.acceptor.hand_over.call_args.args[0](connection, True)
+    engine.can_withdraw.return_value = False  # a worker has it by now
     runner.hand_over_in_flight()
     return channel.messages
 
