Put the comment of awaited results above its line

Cause: the formatter had split the line for its trailing comment. Ruled out: a change of behaviour; a comment moves. Change: one comment.

--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -113,9 +113,8 @@
         self.ready_times: dict[str, float | None] = {}  # not recorded yet
         self.attempt_ends: list[AttemptEnd] = []  # not recorded yet
         self.late_reports = LateReports(wall_clock)
-        self.awaited_results: dict[
-            str, str
-        ] = {}  # by job: the worker that may report one from before a restart
+        # By job: the worker that may still report a result of an attempt from before a restart.
+        self.awaited_results: dict[str, str] = {}
         self.recording_scheduled = self.availability_check_scheduled = False
         self.batch_intake, self.recovery = BatchIntake(self), JobRecovery(self)
         self._check_availability()
