--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,8 +8,9 @@
 import harness_2 as h
 
 DEADLINE_S = 6.0
-FAILS_AFTER_S = 0.2  # the first runner tells that the job failed: it may have run
-HANDED_BACK_AFTER_S = 4.2  # the next one has had the job waiting and hands it back unstarted
+# How the attempts of a job end, by their number, and after how many seconds: the first one may have run, the
+# second one has waited at its runner and is handed back unstarted. All others are done.
+ENDS = {("read-1", 1): ("failed", 0.2), ("read-1", 2): ("returned", 4.2)}
 
 
 async def play(case: h.Case) -> str:
@@ -22,20 +23,12 @@
     came: list[str] = []
 
     async def work(runner: h.Runner, run: h.Run) -> dict[str, object]:
-        if run.call_id != "read-1":
-            await asyncio.sleep(0.1)
-            return {"state": "done", "result": f"did {run.call_id}"}
-        came.append(runner.uid)
-        if len(came) == 1:
-            await asyncio.sleep(FAILS_AFTER_S)
-            case.record("runner_did_job_and_fails", runner=runner.uid, job=run.call_id)
-            return {"state": "failed"}
-        if len(came) > 2:
-            await asyncio.sleep(0.1)
-            return {"state": "done", "result": f"did {run.call_id}"}
-        await asyncio.sleep(HANDED_BACK_AFTER_S)
-        case.record("runner_hands_back", runner=runner.uid, job=run.call_id)
-        return {"state": "returned"}
+        if run.call_id == "read-1":
+            came.append(runner.uid)
+        state, seconds = ENDS.get((run.call_id, len(came)), ("done", 0.1))
+        await asyncio.sleep(seconds)
+        case.record("runner_ends_job", runner=runner.uid, job=run.call_id, state=state)
+        return {"state": state, "result": f"did {run.call_id}"} if state == "done" else {"state": state}
 
     runners = [h.Runner(f"s-{n}", case.record, lambda: [platform.port], work, cell=n // 2) for n in range(4)]
     for server in (discovery, *runners):
