--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -272,12 +272,12 @@
         self.record(
             "runner_got_job", runner=self.uid, port=self.port, job=run.call_id, budget=headers.get("x-budget")
         )
-        self.spawn(self._run(run))
+        self.spawn(self._run(run), run.call_id)
         return 202, {}, b""
 
-    def spawn(self, work: Any) -> None:
+    def spawn(self, work: Any, name: str | None = None) -> None:
         """Run something beside."""
-        task = asyncio.get_running_loop().create_task(work)
+        task = asyncio.get_running_loop().create_task(work, name=name)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
