Review cases 6 and 7: leave room for a slower start of the processes

Cause: with starts of over a second the order would have ended before the second old process, and the job been handed back before the handover. Change: the order runs for 9.5 s instead of 8.8 s, the runner hands back after 5.2 s instead of 4.2 s.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 import harness_2 as h
 
 DEADLINE_S = 10.0
-RUN_S = 8.8
+RUN_S = 9.5
 
 
 async def play(case: h.Case) -> str:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,7 @@
 DEADLINE_S = 6.0
 # How the attempts of a job end, by their number, and after how many seconds: the first one may have run, the
 # second one has waited at its runner and is handed back unstarted. All others are done.
-ENDS = {("read-1", 1): ("failed", 0.2), ("read-1", 2): ("returned", 4.2)}
+ENDS = {("read-1", 1): ("failed", 0.2), ("read-1", 2): ("returned", 5.2)}
 
 
 async def play(case: h.Case) -> str:
