--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -38,14 +38,20 @@
     """The case could not be brought about; the text says why."""
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port on which nobody listens, below those that the system gives to clients."""
+    """Return a free port, each once, below those that the system gives to clients."""
     for _ in range(500):
         port = random.randint(20_000, 31_000)
+        if port in _given_ports:
+            continue
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             with contextlib.suppress(OSError):
                 sock.bind((HOST, port))
+                _given_ports.add(port)
                 return port
     raise CouldNotRunError("no free port")
 
