--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -212,6 +212,9 @@
         """Send an attempt."""
         self.workers.send(self, attempt)
 
+    def adopt_attempt(self, attempt: Attempt, address: tuple[str, int]) -> None:
+        raise NotImplementedError("nothing is handed over here")
+
     def abandon_attempt(self, attempt: Attempt) -> None:
         """Remove an attempt that is still queued; one that runs goes on."""
         self.workers.remove_queued(self, attempt)
--- a/benchmarks/waiting.py
+++ b/benchmarks/waiting.py
@@ -286,6 +286,9 @@
         report = {"free_slots": 1e6}
         self.clock.call_at(0.0, lambda: self.engine.finish_attempt(attempt, Outcome.OK, report, b"done"))
 
+    def adopt_attempt(self, attempt: Attempt, address: tuple[str, int]) -> None:
+        raise NotImplementedError("nothing is handed over here")
+
     def abandon_attempt(self, attempt: Attempt) -> None:
         """Do nothing: the attempt ends at once anyway."""
 
--- a/grebestack/core/context.py
+++ b/grebestack/core/context.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from grebestack.core.estimates import Estimates
-from grebestack.core.events import WorkerEntry
+from grebestack.core.events import WorkerEntry, WorkerState
 from grebestack.core.settings import Settings
 from grebestack.core.workers import TrackedWorker
 
@@ -30,6 +30,14 @@
         """Return a random delay in ms: 0.5 to 1.5 times the mean, doubled `doublings` times."""
         return mean_ms * 2.0 ** min(doublings, MAX_BACKOFF_DOUBLINGS) * self.random.uniform(0.5, 1.5)
 
+    def find_or_add_worker(self, name: str) -> TrackedWorker:
+        """Return a worker; one that is not listed is added as gone until its attempts have ended."""
+        worker = self.workers.get(name)
+        if worker is None:
+            entry = WorkerEntry(name, state=WorkerState.GONE)
+            worker = self.workers[name] = TrackedWorker(entry, entry.zone == self.settings.zone)
+        return worker
+
     def update_worker(self, entry: WorkerEntry) -> bool:
         """Apply an entry of the endpoint list; return whether it changes which workers are ready."""
         settings = self.settings
--- a/grebestack/core/events.py
+++ b/grebestack/core/events.py
@@ -111,6 +111,15 @@
     excluded_workers: tuple[str, ...] = ()  # by `LaterReport.ANY`
 
 
+@dataclass(frozen=True, slots=True)
+class RequestAdopted:
+    """A request was taken over from another process with its open attempt, which a worker has accepted."""
+
+    arrival: RequestArrived  # its `earlier_attempts` don't count the open one
+    worker: str
+    sent_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptStarted:
     """The worker reported that the job has begun to run."""
@@ -192,6 +201,7 @@
     WorkersListed
     | SettingsChanged
     | RequestArrived
+    | RequestAdopted
     | AttemptStarted
     | AttemptProgress
     | StreamStarted
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -14,7 +14,8 @@
 from grebestack.core.admission import AdmissionControl
 from grebestack.core.context import DecisionContext
 from grebestack.core.estimates import Estimates
-from grebestack.core.events import ListKind, Outcome
+from grebestack.core.events import ListKind
+from grebestack.core.learning import OutcomeLearning
 from grebestack.core.outliers import OutlierDetection
 from grebestack.core.queueing import Priority, RequestQueue, Reservation, queue_time_limit_ms
 from grebestack.core.requests import QueueKey, Request, RequestTable
@@ -43,6 +44,7 @@
         self.reservation = Reservation()
         self.admission = AdmissionControl(self.context)
         self.outliers = OutlierDetection(self.context)
+        self.learning = OutcomeLearning(self.context, self.outliers)
         self.slow_start = SlowStart(self.context)
         self.selector = Selector(self.context, self.outliers, self.slow_start, self.reservation)
         self.priority = Priority(self.context, self.queue)
@@ -52,6 +54,7 @@
         self.handlers: dict[type, Callable[..., None]] = {
             api.WorkersListed: self._on_workers_listed,
             api.RequestArrived: self._on_request_arrived,
+            api.RequestAdopted: self._on_request_adopted,
             api.SettingsChanged: self._on_settings_changed,
             api.AttemptStarted: self._on_attempt_started,
             api.StreamStarted: self._on_attempt_started,
@@ -59,7 +62,7 @@
             api.RequestDropped: self._on_request_dropped,
             api.DeadlineShortened: self._on_deadline_shortened,
             api.TimerFired: self._on_timer_fired,
-            api.ProbeEnded: self._on_load_report,
+            api.ProbeEnded: self.learning.on_load_report,
             api.AttemptProgress: self._on_attempt_progress,
         }
 
@@ -167,19 +170,37 @@
     # Requests: the only places that send, reject or fail.
 
     def _on_request_arrived(self, event: api.RequestArrived) -> None:
-        context, job_class = self.context, self.settings.classes[event.job_class]
-        is_over_quota = not self.admission.is_within_quota(event.tenant)
-        key = QueueKey(event.job_class, is_over_quota, False, event.aged)
-        request = Request(event, job_class, context.now_ms, key, context.settings.max_attempts)
-        self.requests[event.request] = request
-        value = job_class.priority_weight * request.value_units(context.settings)
+        context = self.context
+        request = self._add_request(event, is_over_quota=not self.admission.is_within_quota(event.tenant))
+        value = request.job_class.priority_weight * request.value_units(context.settings)
         context.estimates.on_arrival(event.job_class, event.slots, value)
-        self._give_up_at_deadline(request)
         if self.queue.heads(request.queue_key, 1) and not self.selector.has_no_candidate(request):
             self._enqueue(request)
         else:
             self._place(request)
 
+    def _on_request_adopted(self, event: api.RequestAdopted) -> None:
+        """Await the open attempt like one of this process; quota and arrivals counted it where it arrived."""
+        context, arrival = self.context, event.arrival
+        request = self._add_request(arrival, is_over_quota=False)
+        worker = context.find_or_add_worker(event.worker)
+        run_ms = context.estimates.expected_run_ms(arrival.job_class, arrival.cost_ms)
+        attempt = Attempt(
+            worker, event.sent_ms, arrival.slots, arrival.memory, run_ms, started_ms=event.sent_ms
+        )
+        request.attempts.append(attempt)
+        worker.count_attempt(arrival, 1)
+        worker.recent_attempts.append(attempt)
+
+    def _add_request(self, arrival: api.RequestArrived, is_over_quota: bool) -> Request:
+        """Record a request, which is answered by its deadline whatever becomes of it."""
+        job_class = self.settings.classes[arrival.job_class]
+        key = QueueKey(arrival.job_class, is_over_quota, False, arrival.aged)
+        request = Request(arrival, job_class, self.context.now_ms, key, self.settings.max_attempts)
+        self.requests[arrival.request] = request
+        self._give_up_at_deadline(request)
+        return request
+
     def _on_request_dropped(self, event: api.RequestDropped) -> None:
         if (request := self.requests.get(event.request)) and not request.is_closed:
             self._close(request)
@@ -357,8 +378,7 @@
         worker.count_attempt(request.arrival, -1)
         if attempt.started_ms is None:
             worker.unstarted_count -= 1
-        self._learn_outcome(request, attempt, event.outcome, was_full)
-        self._on_load_report(event)
+        self.learning.on_attempt_ended(request, attempt, event, was_full)
         if event.closed or request.is_closed:
             self._close(request)
         elif not request.awaited_attempts():
@@ -366,35 +386,3 @@
         self._serve_queue(worker)
         if worker.used_slots < worker.concurrency_limit:
             self.selector.on_slots_freed()
-
-    def _learn_outcome(self, request: Request, attempt: Attempt, outcome: Outcome, was_full: bool) -> None:
-        """Update the worker's error rate, concurrency limit and backoff."""
-        worker, class_index = attempt.worker, request.queue_key.class_index
-        if outcome in (Outcome.OK, Outcome.ERROR):
-            self.outliers.on_answer(worker, class_index, is_error=outcome is Outcome.ERROR)
-        if outcome is Outcome.OK:
-            self._on_success(request, attempt, was_full)
-        elif outcome in (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT):
-            if outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
-                self.outliers.on_connection_error(worker)
-            backoff_ms = max(self.settings.connect_timeout_ms, self.estimates.run_ms[class_index] / 2)
-            self.outliers.on_overload(worker, worker.used_slots, backoff_ms)
-
-    def _on_success(self, request: Request, attempt: Attempt, was_full: bool) -> None:
-        """Learn running times; raise the concurrency limit while a full worker meets the objective."""
-        context, worker, class_index = self.context, attempt.worker, request.queue_key.class_index
-        run_ms = context.now_ms - (attempt.started_ms or attempt.sent_ms)
-        context.estimates.on_success(class_index, run_ms, request.arrival.cost_ms)
-        self.outliers.on_run_time(worker, class_index, run_ms / attempt.expected_run_ms)
-        if self.outliers.has_crashed(worker, attempt):
-            worker.on_restarted(context.now_ms, context.now_ms, context.settings.slow_start_ms)
-        self.outliers.on_success(worker)
-        mean_run_ms = context.estimates.run_ms[class_index]
-        limit_ms = queue_time_limit_ms(request, mean_run_ms) + run_ms
-        if was_full and context.now_ms - request.arrived_ms <= limit_ms:
-            self.outliers.raise_limit(worker, mean_run_ms)
-
-    def _on_load_report(self, event: api.AttemptEnded | api.ProbeEnded) -> None:
-        if worker := self.workers.get(event.worker):
-            fields = self.settings.report_fields
-            worker.on_load_report(event.report, fields, self.context.now_ms, self.estimates)
--- a/grebestack/hot_restart/messages.py
+++ b/grebestack/hot_restart/messages.py
@@ -26,7 +26,7 @@
     HANDED_OVER = "retired"  # predecessor: accepts no more clients
     ATTEMPT_SENT = "sent"  # predecessor: an attempt was sent to a worker
     ATTEMPT_ENDED = "ended"  # predecessor: an attempt has ended
-    REQUEST_CLOSED = "closed"  # predecessor: a request was answered
+    REQUEST_CLOSED = "closed"  # predecessor: a request was answered or is handed over
     RUN_COMMAND = "call"  # either: run this admin command as well
     COMMAND_RESULT = "did"  # the response to RUN_COMMAND
     DELIVER_CALLBACK = "back"  # either: a worker's call-back for an unknown request
@@ -66,9 +66,10 @@
     return {TYPE_KEY: MessageType.ATTEMPT_ENDED, "key": key}
 
 
-def request_closed(call_id: str) -> Message:
-    """Announce that a request has been answered."""
-    return {TYPE_KEY: MessageType.REQUEST_CLOSED, "id": call_id}
+def request_closed(call_id: str, moved: bool = False) -> Message:
+    """Announce that a request has been answered, or that it is about to be handed over (`moved`)."""
+    message: Message = {TYPE_KEY: MessageType.REQUEST_CLOSED, "id": call_id}
+    return message | {"moved": True} if moved else message
 
 
 def run_command(number: int, verb: str, worker: str) -> Message:
@@ -106,33 +107,27 @@
     return {TYPE_KEY: MessageType.CONNECTION, "asked": request_sent, "idle": idle}
 
 
-def queued_request(
-    deadline_ms: float, request: Message, attempt_count: int, reported_again: list[list[str]]
-) -> Message:
+def queued_request(deadline_ms: float, request: Message) -> Message:
     """Hand over a request that no worker runs, with its client's connection.
 
-    `reported_again` has for each ended attempt that its worker may still report: the worker's call-back id,
-    the outcome, and what may be reported. Like the number of attempts it is left out if there is nothing to
-    say, as processes do that don't know of it.
+    `request` has the fields of the request and of its ended attempts.
     """
-    message = {"deadline_ms": deadline_ms, TYPE_KEY: MessageType.QUEUED_REQUEST, **request}
-    if attempt_count:
-        message |= {"attempts": attempt_count, "reported_again": reported_again}
-    return message
+    return {"deadline_ms": deadline_ms, TYPE_KEY: MessageType.QUEUED_REQUEST, **request}
 
 
 def in_flight_request(
-    deadline_ms: float, worker: str, call_id: str, ambiguous_outcomes: list[str]
+    deadline_ms: float, worker: str, call_id: str, ambiguous_outcomes: list[str], request: Message
 ) -> Message:
     """Hand over a request that a worker runs, with its client's connection.
 
     Call-backs with one of the ambiguous outcomes may be repeats of an earlier one; the key is left out if
-    there are none.
+    there are none. `request` has the fields of the request, of its ended attempts and of the open one.
     """
     message: Message = {
         "deadline_ms": deadline_ms,
         TYPE_KEY: MessageType.IN_FLIGHT_REQUEST,
         "server": worker,
         "id": call_id,
+        **request,
     }
     return message | {"ambiguous": ambiguous_outcomes} if ambiguous_outcomes else message
--- a/grebestack/hot_restart/state_machine.py
+++ b/grebestack/hot_restart/state_machine.py
@@ -4,13 +4,14 @@
 successor of one restart is the predecessor of the next, while the first predecessor may still be finishing
 its requests. Peers are numbers that the caller assigns.
 
-Order matters in three places:
+Order matters in four places:
 
 - The successor accepts clients only after the predecessor has stopped accepting and has sent the ids of its
   open requests, so that no call id is accepted by both. Meanwhile connections wait in the listening socket,
   which stays open throughout.
 - The predecessor gives up the rendezvous before it stops accepting, so that a third process never finds one
   that no longer serves.
+- A request that moves along the chain of processes is always counted as open by those behind it.
 - A query waits for each peer whose response could still change its result: a missing response counts as
   neither yes nor no, and a lost peer no longer counts.
 """
@@ -106,6 +107,13 @@
     result: bool | None
 
 
+@dataclass(frozen=True, slots=True)
+class ReportClosed:
+    """Tell the successor, if there is one, that the predecessor has answered a request."""
+
+    call_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class CountAttempt:
     """Count an attempt that the predecessor has sent or ended; None: it is gone, end all of them."""
@@ -124,6 +132,7 @@
     | RunCommand
     | DeliverCallback
     | CompleteQuery
+    | ReportClosed
     | CountAttempt
 )
 
@@ -193,13 +202,21 @@
         """This process is stopping."""
         self.stopping = True
 
-    def query_command(self, verb: str, worker: str) -> tuple[int, list[Action]]:
-        """Ask all peers to run a command that was run here. The number is that of `CompleteQuery`."""
-        return self._query(True, lambda number: messages.run_command(number, verb, worker))
+    def on_request_adopted(self, call_id: str) -> None:
+        """A request that the predecessor had open is one of this process from now on."""
+        self.predecessor_open_ids.discard(call_id)
+
+    def query_command(self, verb: str, worker: str, asked_by: int | None = None) -> tuple[int, list[Action]]:
+        """Ask all other peers to run a command that was run here. The number is that of `CompleteQuery`.
+
+        `asked_by` is the peer that has asked this process, if one has: processes that replace each other form
+        a chain, along which a query is passed on.
+        """
+        return self._query(True, asked_by, lambda number: messages.run_command(number, verb, worker))
 
-    def query_callback(self, body: str) -> tuple[int, list[Action]]:
-        """Offer all peers a call-back that is unknown here. The number is that of `CompleteQuery`."""
-        return self._query(False, lambda number: messages.deliver_callback(number, body))
+    def query_callback(self, body: str, asked_by: int | None = None) -> tuple[int, list[Action]]:
+        """Offer all other peers a call-back that is unknown here, as `query_command` asks them."""
+        return self._query(False, asked_by, lambda number: messages.deliver_callback(number, body))
 
     def on_query_timeout(self, number: int) -> list[Action]:
         """A query has not completed in time."""
@@ -280,8 +297,11 @@
         return [CountAttempt(message)] if peer == self.predecessor else []
 
     def _on_request_closed(self, peer: int, message: Message) -> list[Action]:
-        self.predecessor_open_ids.discard(str(message["id"]))
-        return []
+        call_id = str(message["id"])
+        if peer != self.predecessor or message.get("moved") or call_id not in self.predecessor_open_ids:
+            return []  # one that has moved is open until it is adopted, and then here
+        self.predecessor_open_ids.discard(call_id)
+        return [ReportClosed(call_id)]
 
     def _on_run_command(self, peer: int, message: Message) -> list[Action]:
         return [RunCommand(peer, int(message["n"]), str(message["verb"]), str(message["server"]))]
@@ -329,8 +349,9 @@
 
     def _lose_predecessor(self) -> list[Action]:
         self.predecessor = None
+        closed = [ReportClosed(call_id) for call_id in sorted(self.predecessor_open_ids)]
         self.predecessor_open_ids.clear()
-        return [CountAttempt(None), *self._hold_rendezvous(), *self._accept_clients()]
+        return [CountAttempt(None), *closed, *self._hold_rendezvous(), *self._accept_clients()]
 
     def _lose_successor(self) -> list[Action]:
         self.successor, self.handed_over = None, False
@@ -338,13 +359,16 @@
             return []
         return [*self._accept_clients(), *self._hold_rendezvous()]
 
-    def _query(self, requires_all: bool, message: Callable[[int], Message]) -> tuple[int, list[Action]]:
+    def _query(
+        self, requires_all: bool, asked_by: int | None, message: Callable[[int], Message]
+    ) -> tuple[int, list[Action]]:
         self.last_query += 1
         number = self.last_query
-        if not self.peers:
+        others = self.peers - {asked_by}
+        if not others:
             return number, [CompleteQuery(number, requires_all)]
-        self.queries[number] = PendingQuery(set(self.peers), requires_all, result=requires_all)
-        return number, [SendMessage(peer, message(number)) for peer in sorted(self.peers)]
+        self.queries[number] = PendingQuery(others, requires_all, result=requires_all)
+        return number, [SendMessage(peer, message(number)) for peer in sorted(others)]
 
     def _add_response(self, number: int, peer: int, agrees: bool) -> list[Action]:
         query = self.queries[number]
--- a/grebestack/program/hot_restart.py
+++ b/grebestack/program/hot_restart.py
@@ -50,12 +50,12 @@
         self.rendezvous = RendezvousListener(self.loop, path)
         self.state_machine = state_machine.HotRestart()
         self.channels = PeerChannels(self.loop, self)
-        self.handover = Handover(dispatcher, self.channels)
-        self.adoption = Adoption(dispatcher)
+        self.handover = Handover(dispatcher, self.channels, lambda: self.state_machine.predecessor_open_ids)
+        self.predecessor_attempts = checkpoint.InheritedAttempts(dispatcher.engine.policy)
+        self.adoption = Adoption(dispatcher, self.state_machine.on_request_adopted, self._on_attempt_adopted)
         self.callbacks_by_query: dict[int, Callable[[bool | None], None]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.local_operations = LocalOperations(dispatcher)
-        self.predecessor_attempts = checkpoint.InheritedAttempts(dispatcher.engine.policy)
         self._action_handlers = self._action_handler_table()
         dispatcher.platform_api.query_other_process = self.offer_callback
         dispatcher.platform_api.is_open_elsewhere = self._is_open_elsewhere
@@ -73,6 +73,7 @@
             state_machine.RunCommand: self._run_command,
             state_machine.DeliverCallback: self._deliver_callback,
             state_machine.CompleteQuery: self._complete_query,
+            state_machine.ReportClosed: self._report_closed,
             state_machine.CountAttempt: self._count_attempt,
         }
 
@@ -140,6 +141,11 @@
         is_writing = successor is not None and not self.channels.is_idle(successor)
         return is_writing or bool(self.adoption.tasks)
 
+    @property
+    def has_predecessor(self) -> bool:
+        """Whether the process that this one replaces is still there, and may hand over more."""
+        return self.state_machine.predecessor is not None
+
     def take_back_unwritten(self) -> None:
         """Part from a successor that does not read: what was to go there is answered here before the kill."""
         successor = self.state_machine.successor
@@ -182,7 +188,7 @@
         return "heir" if peer == self.state_machine.successor else "other"
 
     def _is_open_elsewhere(self, call_id: str) -> bool:
-        return call_id in self.state_machine.predecessor_open_ids or call_id in self.adoption.in_flight_ids
+        return call_id in self.state_machine.predecessor_open_ids
 
     # Actions.
 
@@ -230,20 +236,43 @@
         self.dispatcher.limit_connections(action.processes)
 
     def _run_command(self, action: state_machine.RunCommand) -> None:
+        """Run a peer's command here and in the processes behind this one; a peer awaits no late response."""
         self.dispatcher.table.remember_names({action.worker})
-        response = self._execute_locally(Command(Verb(action.verb), action.worker))
-        self.channels.send(action.peer, messages.command_result(action.number, response.succeeded))
+        succeeded = self._execute_locally(Command(Verb(action.verb), action.worker)).succeeded
+
+        def respond(all_succeeded: bool | None) -> None:
+            if all_succeeded is not None:
+                result = messages.command_result(action.number, succeeded and all_succeeded)
+                self.channels.send(action.peer, result)
+
+        query = self.state_machine.query_command(action.verb, action.worker, action.peer)
+        self._query(query, COMMAND_TIMEOUT_S, respond)
 
     def _deliver_callback(self, action: state_machine.DeliverCallback) -> None:
-        result = self.dispatcher.http_workers.on_callback(action.body.encode("utf-8", "surrogateescape"))
-        message = messages.callback_result(action.number, result is CallbackResult.ACCEPTED)
-        self.channels.send(action.peer, message)
+        """Take a peer's call-back, or offer it to the processes behind this one."""
+        body = action.body.encode("utf-8", "surrogateescape")
+
+        def respond(accepted: bool | None) -> None:
+            if accepted is not None:
+                self.channels.send(action.peer, messages.callback_result(action.number, accepted))
+
+        result = self.dispatcher.http_workers.on_callback(body)
+        if result is CallbackResult.UNKNOWN:
+            self.offer_callback(body, respond, action.peer)
+        else:
+            respond(result is CallbackResult.ACCEPTED)
 
     def _complete_query(self, action: state_machine.CompleteQuery) -> None:
         on_complete = self.callbacks_by_query.pop(action.number, None)
         if on_complete is not None:
             on_complete(action.result)
 
+    def _report_closed(self, action: state_machine.ReportClosed) -> None:
+        self.handover.on_request_closed(action.call_id)
+
+    def _on_attempt_adopted(self, key: str) -> None:
+        self.predecessor_attempts.end(key, self.dispatcher.clock.now_ms())
+
     def _count_attempt(self, action: state_machine.CountAttempt) -> None:
         message, now_ms = action.message, self.dispatcher.clock.now_ms()
         if message is None:
@@ -281,8 +310,10 @@
     def _on_query_timeout(self, number: int) -> None:
         self._execute(self.state_machine.on_query_timeout(number))
 
-    def offer_callback(self, body: bytes, reply: Callable[[bool | None], None]) -> None:
-        """Offer the other processes a call-back that is unknown here.
+    def offer_callback(
+        self, body: bytes, reply: Callable[[bool | None], None], asked_by: int | None = None
+    ) -> None:
+        """Offer the other processes, but the peer that has asked, a call-back that is unknown here.
 
         `reply` is called with whether any process accepted it, or None if that is not known in time.
         """
@@ -292,7 +323,7 @@
                 accepted = self.dispatcher.http_workers.on_callback(body) is CallbackResult.ACCEPTED
             reply(accepted)
 
-        query = self.state_machine.query_callback(body.decode("utf-8", "surrogateescape"))
+        query = self.state_machine.query_callback(body.decode("utf-8", "surrogateescape"), asked_by)
         self._query(query, CALLBACK_TIMEOUT_S, complete)
 
     # Admin commands.
--- a/grebestack/program/hot_restart_adoption.py
+++ b/grebestack/program/hot_restart_adoption.py
@@ -7,27 +7,44 @@
 import os
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from grebestack.core.api import LaterReport, Outcome
 from grebestack.hot_restart.messages import Message, MessageType, message_type
 from grebestack.program.hot_restart_interface import RestartableDispatcher
-from grebestack.protocol.platform import DEADLINE_MARGIN_MS
-from grebestack.routing.requests import EndedAttempt, RequestHistory
+from grebestack.program.hot_restart_wire import (
+    in_flight_http_request,
+    in_flight_job,
+    queued_job,
+    request_from_wire,
+)
+from grebestack.protocol.platform import HandedOverJob
 from grebestack.transport.server import Connection, HttpRequest
 
 log = logging.getLogger(__name__)
-HTTP_OK, HTTP_BAD_GATEWAY, HTTP_SERVICE_UNAVAILABLE = 200, 502, 503
-MIN_BUDGET_MS = 1.0
 
 
 class Adoption:
-    """Adopts the connections and requests whose messages carry the descriptor of a client's connection."""
-
-    def __init__(self, dispatcher: RestartableDispatcher) -> None:
+    """Adopts the connections and requests whose messages carry the descriptor of a client's connection.
+
+    An adopted request is one of the engine like any other from then on: it can be handed over again, gets a
+    shorter deadline if this process stops, and is awaited by the stop.
+
+    Parameters
+    ----------
+    on_adopted
+        Called with the call id of each adopted request.
+    on_attempt_adopted
+        Called with the predecessor's key of each adopted attempt.
+    """
+
+    def __init__(
+        self,
+        dispatcher: RestartableDispatcher,
+        on_adopted: Callable[[str], None],
+        on_attempt_adopted: Callable[[str], None],
+    ) -> None:
         """Start with nothing adopted."""
         self.dispatcher = dispatcher
-        self.in_flight_ids: set[str] = set()  # call ids of adopted requests that a worker runs
+        self.on_adopted, self.on_attempt_adopted = on_adopted, on_attempt_adopted
         self.tasks: set[asyncio.Task[None]] = set()
         self._handlers: dict[str, Callable[[int, Message], None]] = {
             MessageType.CONNECTION: self._adopt_connection,
@@ -49,102 +66,38 @@
             os.close(descriptor)
 
     def _adopt_connection(self, descriptor: int, message: Message) -> None:
-        self._adopt_descriptor(
-            descriptor, bool(message["asked"]), bool(message["idle"]), lambda connection: None
-        )
+        connection = self.dispatcher.acceptor.adopt(bool(message["asked"]), bool(message["idle"]))
+        self._adopt_descriptor(descriptor, connection)
 
     def _adopt_queued(self, descriptor: int, message: Message) -> None:
-        """Adopt a request not yet sent to a worker, as if its client had sent it here."""
-        request = request_from_wire(message)
-        request.context = request_history(message)
-        remaining_ms = float(message["deadline_ms"]) + DEADLINE_MARGIN_MS - self.dispatcher.clock.now_ms()
-        request.headers[b"x-budget"] = b"%.3f" % (max(MIN_BUDGET_MS, remaining_ms) / 1000.0)
-        self._adopt_descriptor(descriptor, True, False, lambda connection: connection.resume(request))
+        """Adopt a request that no worker runs."""
+        self._adopt_request(descriptor, request_from_wire(message), queued_job(message))
 
     def _adopt_in_flight(self, descriptor: int, message: Message) -> None:
-        """Adopt a request that a worker runs: the client is answered at its call-back or its deadline."""
-        call_id, worker, deadline_ms = (
-            str(message["id"]),
-            str(message["server"]),
-            float(message["deadline_ms"]),
-        )
-        http_workers, response = self.dispatcher.http_workers, PendingResponse()
-
-        def on_ended(outcome: Outcome, result: bytes) -> None:
-            timer.cancel()
-            self.in_flight_ids.discard(call_id)
-            response.set(*_response_to(outcome, result))
-
-        def on_deadline() -> None:
-            http_workers.set_callback_handler(call_id, worker, None)  # its call-back is no longer awaited
-            on_ended(Outcome.TIMEOUT, b"")
-
-        answer_by_ms = self.dispatcher.platform_api.deadline_before_kill_ms(deadline_ms)
-        timer = self.dispatcher.clock.call_at(answer_by_ms, on_deadline)
-        self.in_flight_ids.add(call_id)
-        ambiguous = frozenset(Outcome(value) for value in message.get("ambiguous", ()))
-        http_workers.set_callback_handler(call_id, worker, on_ended, ambiguous)
-        self._adopt_descriptor(descriptor, True, False, response.connect)
-
-    def _adopt_descriptor(
-        self, descriptor: int, request_sent: bool, idle: bool, on_connected: Callable[[Connection], None]
-    ) -> None:
+        """Adopt a request that a worker runs."""
+        http_request = in_flight_http_request(message)
+        job = in_flight_job(message, self.dispatcher.table, self.dispatcher.clock.now_ms())
+        if "attempt" in message:
+            self.on_attempt_adopted(str(message["attempt"]["key"]))
+        self._adopt_request(descriptor, http_request, job)
+
+    def _adopt_request(self, descriptor: int, http_request: HttpRequest, job: HandedOverJob) -> None:
+        """Open the request at once, so that its call-back is awaited, and its connection a little later."""
+        connection = self.dispatcher.acceptor.adopt(True, False)
+        self.dispatcher.platform_api.adopt_job(connection, http_request, job)
+        self.on_adopted(http_request.headers.get(b"x-call-id", b"").decode("latin-1"))
+        self._adopt_descriptor(descriptor, connection)
+
+    def _adopt_descriptor(self, descriptor: int, connection: Connection) -> None:
         sock = socket.socket(fileno=descriptor)
         sock.setblocking(False)
-        connection = self.dispatcher.acceptor.adopt(request_sent, idle)
-        task = self.dispatcher.loop.create_task(self._connect(sock, connection, on_connected))
+        task = self.dispatcher.loop.create_task(self._connect(sock, connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _connect(
-        self, sock: socket.socket, connection: Connection, on_connected: Callable[[Connection], None]
-    ) -> None:
+    async def _connect(self, sock: socket.socket, connection: Connection) -> None:
         try:
             await self.dispatcher.loop.connect_accepted_socket(lambda: connection, sock)
-        except OSError:
+        except OSError as error:
             sock.close()
-        on_connected(connection)
-
-
-@dataclass(slots=True)
-class PendingResponse:
-    """A response and the connection to send it on, which may become available in either order."""
-
-    connection: Connection | None = None
-    response: tuple[int, bytes] | None = None
-
-    def set(self, status: int, body: bytes) -> None:
-        """Set the response of an ended request; only the first one counts."""
-        if self.response is None:
-            self.response = status, body
-        if self.connection is not None:
-            self.connection.respond(*self.response)
-
-    def connect(self, connection: Connection) -> None:
-        """Set the client's connection, and resume it."""
-        connection.resume(None)
-        self.connection = connection
-        if self.response is not None:
-            connection.respond(*self.response)
-
-
-def _response_to(outcome: Outcome, result: bytes) -> tuple[int, bytes]:
-    if outcome is Outcome.OK:
-        return HTTP_OK, result
-    return (HTTP_SERVICE_UNAVAILABLE if outcome.never_ran else HTTP_BAD_GATEWAY), b""
-
-
-def request_history(message: Message) -> RequestHistory:
-    """What the predecessor knew of a request that no worker runs."""
-    reported_again = (
-        EndedAttempt(str(callback_id), Outcome(outcome), LaterReport(later_report))
-        for callback_id, outcome, later_report in message.get("reported_again", ())
-    )
-    return RequestHistory(int(message.get("attempts", 0)), tuple(reported_again))
-
-
-def request_from_wire(message: Message) -> HttpRequest:
-    """The request that a message holds."""
-    headers = {name.encode("latin-1"): value.encode("latin-1") for name, value in message["headers"]}
-    method, target = message["method"].encode("latin-1"), message["target"].encode("latin-1")
-    return HttpRequest(method, target, headers, message["body"].encode("latin-1"))
+            connection.connection_lost(error)
--- a/grebestack/program/hot_restart_handover.py
+++ b/grebestack/program/hot_restart_handover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from grebestack.hot_restart import messages
@@ -11,9 +12,10 @@
 from grebestack.program.hot_restart_interface import RestartableDispatcher
 from grebestack.program.hot_restart_peers import PeerChannels
 from grebestack.program.hot_restart_reports import SuccessorReports
+from grebestack.program.hot_restart_wire import in_flight_request_to_wire, queued_request_to_wire
 from grebestack.protocol.platform import PlatformResponder
 from grebestack.routing.requests import Attempt, Request
-from grebestack.transport.server import Connection, HttpRequest
+from grebestack.transport.server import Connection
 
 log = logging.getLogger(__name__)
 HANDOVER_INTERVAL_S = 0.1  # between two searches for connections and requests that can move
@@ -30,9 +32,15 @@
     written to the successor, and what is not written by the time the channel closes comes back.
     """
 
-    def __init__(self, dispatcher: RestartableDispatcher, channels: PeerChannels) -> None:
-        """Start without a successor."""
+    def __init__(
+        self,
+        dispatcher: RestartableDispatcher,
+        channels: PeerChannels,
+        predecessor_open_ids: Callable[[], Iterable[str]],
+    ) -> None:
+        """Start without a successor; this process may still have a predecessor with open requests."""
         self.dispatcher, self.channels = dispatcher, channels
+        self.predecessor_open_ids = predecessor_open_ids
         self.reports: SuccessorReports | None = None
         self.includes_in_flight = False
         self.handed_over_in_turn = 0
@@ -75,7 +83,7 @@
         self.dispatcher.acceptor.hand_over(partial(self._hand_over_connection, successor))
 
     def on_request_closed(self, call_id: str) -> None:
-        """A request of this process has been answered."""
+        """A request of this process, or of its predecessor, has been answered."""
         if self.reports is not None:
             self.reports.on_request_closed(call_id)
 
@@ -87,7 +95,7 @@
             for request in engine.requests.values()
             for attempt in request.open_attempts()
         ][-MAX_LISTED:]
-        open_call_ids = newest_call_ids(list(engine.open_by_call_id))
+        open_call_ids = newest_call_ids([*self.predecessor_open_ids(), *engine.open_by_call_id])
         self.channels.send(successor, messages.handed_over(open_call_ids, attempts))
         keys = (attempt["key"] for attempt in attempts)
         reports = self.reports = SuccessorReports(self.channels, successor, open_call_ids, keys)
@@ -180,20 +188,24 @@
                 self._hand_over_running(successor, request, responder)
 
     def _hand_over_queued(self, successor: int, request: Request, responder: PlatformResponder) -> None:
+        self._report_move(request)
         if self.dispatcher.engine.withdraw_unsent(request):
             message = queued_request_to_wire(request, responder.http_request)
             self._send_request(successor, responder, message)
 
     def _hand_over_running(self, successor: int, request: Request, responder: PlatformResponder) -> None:
+        self._report_move(request)
         attempt = self.dispatcher.engine.hand_over(request)
         if attempt is None:
             return
-        worker = self.dispatcher.http_workers.hand_over(attempt)
-        ambiguous = sorted(outcome.value for outcome in request.ambiguous_outcomes(worker))
-        deadline_ms = request.arrival.deadline_ms
-        message = messages.in_flight_request(deadline_ms, worker, request.call_id, ambiguous)
+        in_flight = self.dispatcher.http_workers.hand_over(attempt)
+        message = in_flight_request_to_wire(request, responder.http_request, in_flight, attempt_key(attempt))
         self._send_request(successor, responder, message)
 
+    def _report_move(self, request: Request) -> None:
+        if self.reports is not None:
+            self.reports.on_request_moved(request.call_id)
+
     def _send_request(self, successor: int, responder: PlatformResponder, message: Message) -> None:
         responder.connection.handler_data = None
         self.channels.hand_over(successor, message, responder.connection.detach())
@@ -214,25 +226,3 @@
 def attempt_key(attempt: Attempt) -> str:
     """The key of an attempt in messages."""
     return f"{attempt.request.number}.{attempt.number}"
-
-
-def queued_request_to_wire(request: Request, http_request: HttpRequest) -> Message:
-    """The message that hands over a request that no worker runs."""
-    attempt_count = request.arrival.earlier_attempts + len(request.attempts)
-    reported_again = [
-        [ended.callback_id, ended.outcome.value, ended.later_report.value]
-        for ended in request.reported_again()
-    ]
-    fields = request_to_wire(http_request)
-    return messages.queued_request(request.arrival.deadline_ms, fields, attempt_count, reported_again)
-
-
-def request_to_wire(request: HttpRequest) -> Message:
-    """The message fields of an HTTP request."""
-    headers = [[name.decode("latin-1"), value.decode("latin-1")] for name, value in request.headers.items()]
-    return {
-        "method": request.method.decode("latin-1"),
-        "target": request.target.decode("latin-1"),
-        "headers": headers,
-        "body": request.body.decode("latin-1"),
-    }
--- a/grebestack/program/hot_restart_reports.py
+++ b/grebestack/program/hot_restart_reports.py
@@ -50,6 +50,16 @@
             self.unreported["request", call_id] = messages.request_closed(call_id)
             self.flush()
 
+    def on_request_moved(self, call_id: str) -> None:
+        """A request is about to be handed over: the successor goes on to count it as open.
+
+        Former versions take this for its end, and adopt only requests that they count as ended.
+        """
+        if call_id in self.announced_call_ids:
+            self.announced_call_ids.discard(call_id)
+            self.unreported["request", call_id] = messages.request_closed(call_id, moved=True)
+            self.flush()
+
     def flush(self) -> None:
         """Send what waits, as far as the channel takes it."""
         self._send_waiting(self.unreported, lambda name: None)
--- a/grebestack/program/lifecycle_control.py
+++ b/grebestack/program/lifecycle_control.py
@@ -106,8 +106,9 @@
         longest_ms = KILL_DEADLINE_MS if retired else self._longest_deadline_ms()
         deadline_ms = dispatcher.lifecycle.late_answer_deadline_ms(longest_ms)
         has_unfinished = dispatcher.acceptor.has_unfinished_requests(math.inf if retired else _READ_ANSWER_S)
-        if dispatcher.hot_restart is not None:
-            has_unfinished = has_unfinished or dispatcher.hot_restart.is_handing_over
+        if (restart := dispatcher.hot_restart) is not None:
+            # A predecessor that still ends its own requests reaches the successor only through this process.
+            has_unfinished = has_unfinished or restart.is_handing_over or restart.has_predecessor
         is_overdue = dispatcher.engine.clock.now_ms() >= deadline_ms
         if dispatcher.engine.open_by_call_id or (has_unfinished and not is_overdue):
             dispatcher.loop.call_later(_IDLE_CHECK_INTERVAL_S, self._end_when_idle)
--- a/grebestack/protocol/http_workers.py
+++ b/grebestack/protocol/http_workers.py
@@ -15,8 +15,8 @@
 from grebestack.core.api import Effect, LaterReport, Outcome
 from grebestack.routing.engine import Engine
 from grebestack.routing.interfaces import Clock
-from grebestack.routing.requests import Attempt, AttemptStage
-from grebestack.transport.client import ConnectionPool, ConnectionPools, Exchange, Response
+from grebestack.routing.requests import Attempt, AttemptStage, InFlightAttempt
+from grebestack.transport.client import Address, ConnectionPool, ConnectionPools, Exchange, Response
 
 log = logging.getLogger(__name__)
 OUTCOME_BY_FINAL_STATE = {
@@ -92,7 +92,7 @@
 
 
 class AttemptExchange:
-    """The HTTP exchange that sends one attempt to its worker."""
+    """The HTTP exchange that sends one attempt to its worker, or has done so from another process."""
 
     def __init__(self, workers: HttpWorkers, attempt: Attempt, pool: ConnectionPool) -> None:
         self.workers, self.attempt, self.pool = workers, attempt, pool
@@ -311,11 +311,15 @@
         ):
             CancelExchange(self.engine.clock, attempt.request.call_id, exchange.pool)
 
-    def hand_over(self, attempt: Attempt) -> str:
-        """Stop waiting for the call-back of an attempt; return the id that the worker's call-backs carry."""
-        key = self._key(attempt)
-        self.exchanges.pop(key, None)
-        return key[1]
+    def adopt_attempt(self, attempt: Attempt, address: Address) -> None:
+        """Wait for the call-back of an attempt that another process has sent to a worker at this address."""
+        exchange = AttemptExchange(self, attempt, self.pools.pool(address))
+        self.exchanges[self._key(attempt)] = exchange
+
+    def hand_over(self, attempt: Attempt) -> InFlightAttempt:
+        """Stop waiting for the call-back of an attempt, which another process awaits from now on."""
+        address = self.exchanges.pop(self._key(attempt)).pool.address
+        return InFlightAttempt(attempt.worker, attempt.callback_id, address, attempt.sent_ms)
 
     def cancel_attempt(self, attempt: Attempt) -> None:
         """Ask a worker to cancel an attempt, which is still waited for: it may end in another way first."""
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -4,45 +4,29 @@
 
 import logging
 import math
-import re
 from collections.abc import Callable
-from hashlib import blake2b
+from dataclasses import dataclass, replace
 
-from grebestack.core.api import Effect, Settings
+from grebestack.core.api import Settings
 from grebestack.protocol.http_workers import CallbackResult
+from grebestack.protocol.job_request import JobRequest, JobRequestParser, MalformedFieldError
 from grebestack.routing.engine import Engine
-from grebestack.routing.requests import NO_HISTORY, Attempt, Payload, Request, RequestHistory
+from grebestack.routing.requests import NO_HISTORY, Attempt, InFlightAttempt, Request, RequestHistory
 from grebestack.transport.server import Connection, HttpRequest
 
 log = logging.getLogger(__name__)
 DEADLINE_MARGIN_MS = 5.0  # the client's time limit began before the last byte of its request arrived
-is_plain = re.compile(rb"[!-~]{1,512}").fullmatch  # of a value that may be forwarded to a worker
-is_seconds = re.compile(rb"(?=[0-9.]*[1-9])[0-9]{1,9}(\.[0-9]{0,9})?|(?=\.0*[1-9])\.[0-9]{1,9}").fullmatch
-MAX_SLOTS_OR_MEMORY = 1e6
-MAX_COST_US = 3.6e9  # an hour; a hint above it is taken for an error and ignored
 CONNECTIONS_PER_SPARE = 6  # during a planned stop one of this many clients' connections is kept free
 STOPPING_RETRY_AFTER_MS = 100.0
-SLOTS_NAMES = ("slots", "x1")
-MEMORY_NAMES = ("mem", "memory", "x2")
 
 
-def parse_numbers(header: bytes) -> dict[str, float]:
-    """Parse `name=value,name=value`; parts whose value is not a finite number are left out."""
-    numbers: dict[str, float] = {}
-    for part in header.decode("latin-1").split(","):
-        name, _, text = part.partition("=")
-        try:
-            value = float(text)
-        except ValueError:
-            continue
-        if math.isfinite(value):
-            numbers[name.strip()] = value
-    return numbers
-
+@dataclass(frozen=True, slots=True)
+class HandedOverJob:
+    """What another process knew of a job that it accepted: the client's deadline, and the attempts."""
 
-def route_key(header: bytes | None) -> int | None:
-    """Return the cache key of a request as a number that is the same in all dispatchers."""
-    return None if header is None else int.from_bytes(blake2b(header, digest_size=6).digest(), "big")
+    deadline_ms: float
+    history: RequestHistory = NO_HISTORY
+    in_flight: InFlightAttempt | None = None
 
 
 class PlatformApi:
@@ -70,13 +54,8 @@
 
     def update_settings(self, settings: Settings) -> None:
         """Apply the classes and tenants of new settings to jobs that arrive from now on."""
-        classes = enumerate(settings.classes)
-        self.classes = {c.name.encode(): (i, c.deadline_ms) for i, c in classes if i not in settings.retired}
+        self.job_parser = JobRequestParser(settings)
         self.max_retry_after_ms = settings.max_retry_after_ms if settings.retry_after else None
-        self.keyed_classes = {
-            i for i, c in enumerate(settings.classes) if c.effect is Effect.IDEMPOTENT_WITH_KEY
-        }
-        self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
 
     def limit_deadlines(self, latest_ms: float) -> None:
         """Answer jobs that arrive from now on by this time at the latest."""
@@ -137,31 +116,13 @@
             self.engine.on_client_disconnected(request)
 
     def _handle_job(self, connection: Connection, http_request: HttpRequest) -> None:
-        headers = http_request.headers
-        call_id = headers.get(b"x-call-id", b"")
-        index_and_deadline = self.classes.get(headers.get(b"x-call-class", b""))
-        budget, key = headers.get(b"x-budget"), headers.get(b"idempotency-key")
-        info = parse_numbers(headers.get(b"x-call-info", b""))
-        slots = next((info[name] for name in SLOTS_NAMES if name in info), 1.0)
-        memory = next((info[name] for name in MEMORY_NAMES if name in info), 0.0)
         if http_request.method != b"POST":
             connection.respond(405, headers=b"Allow: POST\r\n")
             return
-        # Malformed values are refused here: a worker closes its connection on a request that it can't parse,
-        # a keyed job without its key could be executed twice, and decisions depend on slots and memory.
-        is_invalid = {
-            b"X-Call-Class": index_and_deadline is None,
-            b"X-Call-Id": not is_plain(call_id),
-            b"target": not is_plain(http_request.target),
-            b"X-Budget": budget is not None and not is_seconds(budget),
-            b"Idempotency-Key": (index_and_deadline and index_and_deadline[0] in self.keyed_classes)
-            if key is None
-            else not is_plain(key),
-            b"X-Call-Info": not (0 < slots <= MAX_SLOTS_OR_MEMORY and 0 <= memory <= MAX_SLOTS_OR_MEMORY),
-        }
-        if index_and_deadline is None or any(is_invalid.values()):
-            name = next(name for name, invalid in is_invalid.items() if invalid)
-            self._answer_malformed(connection, name, http_request)
+        try:
+            job = self.job_parser.parse(http_request)
+        except MalformedFieldError as error:
+            self._answer_malformed(connection, error.name, http_request)
             return
         if connection.over_limit or self.rejecting:
             self.reject(connection, self.max_retry_after_ms)
@@ -171,33 +132,64 @@
         if self.stopping and self._has_few_free_connections(connection):
             self.reject(connection, None if self.max_retry_after_ms is None else STOPPING_RETRY_AFTER_MS)
             return
-        if self.is_open_elsewhere(call_id.decode("latin-1")):
+        if self.is_open_elsewhere(job.call_id):
             connection.respond(409)
             return
-        job_class, deadline_ms = index_and_deadline
-        budget_ms = math.inf if budget is None else float(budget) * 1000.0
-        head = b"POST %s HTTP/1.1\r\nX-Call-Id: %s\r\n" % (http_request.target, call_id)
-        if key is not None:
-            head += b"Idempotency-Key: %s\r\n" % key
-        cost_us = parse_numbers(b"cost=" + headers.get(b"x-call-cost", b"")).get("cost", 0.0)
+        request = self._open(connection, http_request, job, self._deadline_ms(job.limit_ms))
+        if request is None:
+            connection.respond(409)
+
+    def adopt_job(
+        self, connection: Connection, http_request: HttpRequest, handed_over: HandedOverJob
+    ) -> None:
+        """Go on with a job that another process has accepted; `connection` may be open a little later.
+
+        It is never refused, since it may have run. One whose class is unknown here is not sent again.
+        """
+        history = handed_over.history
+        try:
+            job = self.job_parser.parse(http_request)
+        except MalformedFieldError:
+            job = self.job_parser.unsendable(http_request)
+            history = replace(history, attempt_count=self.engine.settings.max_attempts)
+        connection.adopt_request()
+        request = self._open(
+            connection, http_request, job, handed_over.deadline_ms, history, handed_over.in_flight
+        )
+        if request is None:
+            connection.respond(409 if handed_over.in_flight is None else 502)
+            return
+        deadline_ms = min(self.deadline_before_kill_ms(handed_over.deadline_ms), self.latest_deadline_ms)
+        self.engine.shorten_deadline(request, deadline_ms)
+
+    def _open(
+        self,
+        connection: Connection,
+        http_request: HttpRequest,
+        job: JobRequest,
+        deadline_ms: float,
+        history: RequestHistory = NO_HISTORY,
+        in_flight: InFlightAttempt | None = None,
+    ) -> Request | None:
+        """Open the request of a job; None if its call id is open already."""
         request = self.engine.open_request(
             PlatformResponder(self, connection, http_request),
-            call_id.decode("latin-1"),
-            Payload(head, http_request.body),
-            job_class,
-            self._deadline_ms(min(budget_ms, deadline_ms)),
-            slots=slots,
-            memory=memory,
-            key=route_key(headers.get(b"x-route-hash")),
-            tenant=self.tenants.get(headers.get(b"x-caller", b""), len(self.tenants)),
-            cost_ms=cost_us / 1000.0 if 0.0 < cost_us <= MAX_COST_US else None,
-            retry=headers.get(b"x-again") == b"1",
-            history=history if isinstance(history := http_request.context, RequestHistory) else NO_HISTORY,
+            job.call_id,
+            job.payload,
+            job.job_class,
+            deadline_ms,
+            slots=job.slots,
+            memory=job.memory,
+            key=job.cache_key,
+            tenant=job.tenant,
+            cost_ms=job.cost_ms,
+            retry=job.is_retry,
+            history=history,
+            in_flight=in_flight,
         )
-        if request is None:
-            connection.respond(409)
-        elif not request.closed:
+        if request is not None and not request.closed:
             connection.handler_data = request
+        return request
 
     def _has_few_free_connections(self, connection: Connection) -> bool:
         """Whether less than the reserved share of the clients' connections is free."""
@@ -206,14 +198,16 @@
             free < sum(other.is_client for other in connection.acceptor.connections) // CONNECTIONS_PER_SPARE
         )
 
-    def _answer_malformed(self, connection: Connection, name: bytes, http_request: HttpRequest) -> None:
+    def _answer_malformed(self, connection: Connection, name: str, http_request: HttpRequest) -> None:
         """Answer 400. At most one log line a second: a client that repeats itself must not fill the log."""
         self.engine.counts["malformed"] += 1
         if self.engine.clock.now_ms() >= self.next_malformed_log_ms:
             self.next_malformed_log_ms = self.engine.clock.now_ms() + 1000.0
-            value = http_request.target if name == b"target" else http_request.headers.get(name.lower())
+            value = (
+                http_request.target if name == "target" else http_request.headers.get(name.lower().encode())
+            )
             call_id = http_request.headers.get(b"x-call-id", b"")[:80].decode("latin-1")
-            fields = {"call_id": call_id, "field": name.decode(), "value": f"{value!r:.80}"}
+            fields = {"call_id": call_id, "field": name, "value": f"{value!r:.80}"}
             log.info("malformed", extra={"kv": fields})
         connection.respond(400)
 
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -10,7 +10,15 @@
 from grebestack.core import api
 from grebestack.core.policy import Policy
 from grebestack.routing.interfaces import Clock, RequestListener, Workers
-from grebestack.routing.requests import NO_HISTORY, Attempt, AttemptStage, Payload, Request, RequestHistory
+from grebestack.routing.requests import (
+    NO_HISTORY,
+    Attempt,
+    AttemptStage,
+    InFlightAttempt,
+    Payload,
+    Request,
+    RequestHistory,
+)
 from grebestack.routing.worker_table import WorkerTable
 
 log = logging.getLogger(__name__)
@@ -65,8 +73,12 @@
         aged: bool = False,
         can_wait: bool = False,
         history: RequestHistory = NO_HISTORY,
+        in_flight: InFlightAttempt | None = None,
     ) -> Request | None:
-        """Accept a request; None if its call id is already open. It may be answered before this returns."""
+        """Accept a request; None if its call id is already open. It may be answered before this returns.
+
+        `history` and `in_flight` are what another process, or this one before, knew of its attempts.
+        """
         if call_id in self.open_by_call_id:
             return None
         self.last_number += 1
@@ -90,9 +102,24 @@
         self.requests[self.last_number] = self.open_by_call_id[call_id] = request
         request.timer = self.clock.call_at(deadline_ms, partial(self._on_deadline, request))
         self.counts["sessions"] += 1
-        self._process(arrival)
+        self._process(arrival if in_flight is None else self._adopt_attempt(request, in_flight))
         return request
 
+    def _adopt_attempt(self, request: Request, in_flight: InFlightAttempt) -> api.RequestAdopted:
+        """Wait for the end of an attempt that another process has sent."""
+        attempt = Attempt(
+            request,
+            len(request.attempts),
+            in_flight.worker,
+            in_flight.sent_ms,
+            callback_id=in_flight.callback_id,
+            stage=AttemptStage.ACCEPTED,
+        )
+        request.attempts.append(attempt)
+        self.on_attempt_sent(attempt)
+        self.workers.adopt_attempt(attempt, in_flight.address)
+        return api.RequestAdopted(request.arrival, attempt.worker, attempt.sent_ms)
+
     def _workers_that_may_report(
         self, history: RequestHistory, later_report: api.LaterReport
     ) -> tuple[str, ...]:
--- a/grebestack/routing/interfaces.py
+++ b/grebestack/routing/interfaces.py
@@ -63,6 +63,9 @@
     def send_attempt(self, attempt: Attempt) -> None:
         """Send a request to the worker that the attempt names."""
 
+    def adopt_attempt(self, attempt: Attempt, address: tuple[str, int]) -> None:
+        """Wait for the end of an attempt that another process has sent to a worker at this address."""
+
     def abandon_attempt(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt and tell its worker so; its end is not reported after this."""
 
--- a/grebestack/routing/requests.py
+++ b/grebestack/routing/requests.py
@@ -66,6 +66,16 @@
 NO_HISTORY = RequestHistory()
 
 
+@dataclass(frozen=True, slots=True)
+class InFlightAttempt:
+    """An attempt that another process has sent, and that its worker has accepted and not ended."""
+
+    worker: str
+    callback_id: str  # the id that the worker's call-backs carry
+    address: tuple[str, int]
+    sent_ms: float
+
+
 def ambiguous_outcomes(ended: Iterable[EndedAttempt], callback_id: str) -> frozenset[Outcome]:
     """The outcomes whose report by a worker may be about an ended attempt and proves nothing of another."""
     of_worker = [attempt for attempt in ended if attempt.callback_id == callback_id]
@@ -107,6 +117,11 @@
         )
         return (*self.history.reported_again, *own)
 
+    def ended_history(self) -> RequestHistory:
+        """What another process must know of the attempts that have ended, here or before."""
+        ended = sum(1 for a in self.attempts if a.outcome is not None)
+        return RequestHistory(self.arrival.earlier_attempts + ended, self.reported_again())
+
     def ambiguous_outcomes(self, callback_id: str) -> frozenset[Outcome]:
         """The outcomes whose report by a worker proves nothing of an attempt in flight."""
         return ambiguous_outcomes(self.reported_again(), callback_id)
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -56,7 +56,6 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
-    context: object = None  # of the handler, about a request that another process has read
 
     @property
     def path(self) -> bytes:
@@ -98,6 +97,8 @@
         self.closing = False  # the connection ends with the next response
         self.writing_paused = False
         self.adopted_idle = False  # another process accepted it and handed it over between two requests
+        self.is_opening = False  # it is handed over with a request and is not open here yet
+        self.early_response: tuple[int, bytes, bytes] | None = None  # to be sent once it is open
         self.over_limit = False  # it was opened while all allowed connections were busy
         self.handler_data: Any = None  # for the handler's own use
         self.is_client = False  # it has sent a job, so it is not a worker's connection
@@ -124,6 +125,11 @@
         if self.adopted_idle:
             self.acceptor.on_busy(self)
             self.acceptor.on_idle(self)
+        elif self.busy:
+            self.acceptor.on_busy(self)
+        self.is_opening = False
+        if self.early_response is not None:
+            self.respond(*self.early_response)
 
     def data_received(self, data: bytes) -> None:
         if self.closing or self.refusal_status is not None:
@@ -174,7 +180,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        self.closing = True
+        self.closing, self.is_opening = True, False
         self.queued.clear()
         self.acceptor.on_closed(self)
         if self.busy:
@@ -282,6 +288,9 @@
         """Respond to the current request, if there is one; `headers` are complete lines."""
         if not self.busy:
             return
+        if self.is_opening:
+            self.early_response = status, body, headers
+            return
         self.busy = False
         if self.transport is None:
             return
@@ -321,16 +330,9 @@
         self.transport.abort()
         return descriptor
 
-    def resume(self, request: HttpRequest | None) -> None:
-        """Go on with a request that another process has read; None: with its response alone."""
-        if self.transport is None:
-            return  # the client has closed the connection meanwhile
-        self.acceptor.on_busy(self)
-        if request is None:
-            self.busy = True
-        else:
-            self.queued.append(request)
-            self._handle_next()
+    def adopt_request(self) -> None:
+        """Take over a request that another process has read; its response may come before the opening."""
+        self.busy = self.is_opening = True
 
     def _close_now(self) -> None:
         """Close the socket; if a request is unread, the client gets a reset and can safely send it again."""
@@ -381,10 +383,9 @@
                 next(iter(group)).evict()
             else:
                 connection.over_limit = True
-                if (
-                    len(self.connections) > self.max_connections + self.margin
-                    and connection.transport is not None
-                ):
+                is_excess = len(self.connections) > self.max_connections + self.margin
+                # One with an adopted request is kept: it must be answered.
+                if is_excess and not connection.busy and connection.transport is not None:
                     log.warning("frontend_dropped", extra={"kv": {"connections": len(self.connections)}})
                     connection.transport.abort()
                     return
--- a/tests/golden_handover.py
+++ b/tests/golden_handover.py
@@ -8,13 +8,20 @@
 from unittest.mock import MagicMock
 
 from grebestack.core import checkpoint
-from grebestack.core.api import ListKind, RequestArrived, WorkerEntry, WorkersListed
+from grebestack.core.api import (
+    LaterReport,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    WorkerEntry,
+    WorkersListed,
+)
 from grebestack.core.policy import Policy
 from grebestack.hot_restart import framing, messages, state_machine
 from grebestack.program.hot_restart import HotRestartRunner
 from grebestack.protocol.http_workers import CallbackResult
 from grebestack.protocol.platform import PlatformResponder
-from grebestack.routing.requests import Attempt, Payload, Request
+from grebestack.routing.requests import Attempt, InFlightAttempt, Payload, Request
 from grebestack.routing.worker_table import WorkerTable
 from grebestack.transport.server import HttpRequest
 from tests.golden_samples import WORKER
@@ -77,7 +84,8 @@
     actions += successor.query_command("cordon", "runner-1")[1]
     actions += successor.query_callback("the body of a call-back")[1]
     actions += predecessor.on_message(2, {"is": "hello", "version": messages.PROTOCOL_VERSION})
-    return [action.message for action in actions if isinstance(action, state_machine.SendMessage)]
+    sent = [action.message for action in actions if isinstance(action, state_machine.SendMessage)]
+    return [*sent, messages.request_closed("job-1")]
 
 
 def busy_dispatcher() -> MagicMock:
@@ -90,10 +98,15 @@
     arrival = RequestArrived(41, 2, 5000.5, 1.5, 2.5)
     request = Request("job-1", arrival, Payload(b"head", b"body"), responder)
     request.attempts.append(Attempt(request, 3, "runner-1", 4000.25))
+    ended = Attempt(request, 2, "runner-2", 3000.25, callback_id="runner-2", outcome=Outcome.REJECTED)
+    ended.later_report = LaterReport.SAME
+    request.attempts.append(ended)
     dispatcher.table, dispatcher.lifecycle.quiesced, dispatcher.lifecycle.retired = table, True, True
     dispatcher.list_reader.unix_to_clock_ms = -123.5
     dispatcher.http_workers.on_callback.return_value = CallbackResult.ACCEPTED
-    dispatcher.http_workers.hand_over.return_value = "runner-1"
+    dispatcher.http_workers.hand_over.return_value = InFlightAttempt(
+        "runner-1", "runner-1", WORKER.address, 4000.25
+    )
     engine = dispatcher.engine
     engine.policy, engine.settings = policy_with_state(), BASE
     engine.requests, engine.open_by_call_id = {41: request}, {"job-1": request}
@@ -133,7 +146,12 @@
     """The packets of each message, by its type; a long message takes several."""
     with TemporaryDirectory() as folder:
         messages = state_machine_messages() + runner_messages(folder)
-    packets = {message["is"]: [packet.decode() for packet in framing.pack(message)] for message in messages}
+    packets = {
+        message["is"] + (" (moved)" if message.get("moved") else ""): [
+            packet.decode() for packet in framing.pack(message)
+        ]
+        for message in messages
+    }
     long_message = framing.pack(
         {"is": "call", "n": 1, "verb": "cordon", "server": "r" * framing.MAX_PACKET_PAYLOAD_BYTES}
     )
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -106,6 +106,9 @@
         assert not attempt.request.closed
         self.unsent.append(attempt)
 
+    def adopt_attempt(self, attempt: Attempt, address: tuple[str, int]) -> None:
+        raise NotImplementedError("nothing is handed over here")
+
     def abandon_attempt(self, attempt: Attempt) -> None:
         for attempts in (self.unsent, self.running):
             if attempt in attempts:
--- a/tests/test_golden_messages.py
+++ b/tests/test_golden_messages.py
@@ -9,8 +9,8 @@
 
 from grebestack.audit.records import Item
 from grebestack.hot_restart.framing import Unpacker, pack
-from grebestack.program.hot_restart_adoption import request_from_wire
 from grebestack.program.hot_restart_state import worker_from_wire
+from grebestack.program.hot_restart_wire import request_from_wire
 from grebestack.routing.worker_table import WorkerEndpoint
 from tests.golden_handover import REQUEST, handover_packets, keepsake, keepsake_taken
 from tests.golden_links import REPORTED_RECORD, export_request, first_bytes, received
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -21,8 +21,7 @@
 from grebestack.core.checkpoint import InheritedAttempts, restore_checkpoint, save_checkpoint
 from grebestack.core.policy import Policy
 from grebestack.hot_restart import cordon_file, framing, state_machine
-from grebestack.program.hot_restart_adoption import request_history
-from grebestack.program.hot_restart_handover import queued_request_to_wire
+from grebestack.program.hot_restart_wire import queued_request_to_wire, request_history
 from grebestack.routing.requests import Attempt, EndedAttempt, Payload, Request, RequestHistory
 from grebestack.transport.server import HttpRequest
 from tests.policy_driver import IDEMPOTENT, IDEMPOTENT_WITH_KEY, NOT_IDEMPOTENT, settings
@@ -383,6 +382,105 @@
     assert len(worker.jobs) == 1 and not worker.cancelled, "it was sent again, or given up"
 
 
+def restart(testbed: DispatcherTestbed) -> Any:
+    """Start a successor of the newest process, and return its admin address once it serves."""
+    admin = testbed.start_on_shared_socket()
+    wait_until(lambda: reports_ready(admin))
+    return admin
+
+
+def stop(process: Any) -> None:
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(20) == 0
+
+
+@pytest.fixture
+def long_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Deadlines that outlast some restarts on a busy machine."""
+    for service in SETTINGS["services"]:
+        monkeypatch.setitem(service, "hardLimitMs", 60_000.0)
+        monkeypatch.setitem(service, "windowMs", 60_000.0)
+
+
+@pytest.mark.usefixtures("long_deadline")
+def test_a_request_that_outlasts_three_restarts_in_a_row_is_answered(testbed: DispatcherTestbed) -> None:
+    # Guards against a request that is handed over once and then neither handed on nor awaited.
+    worker, pending = start_with_running_request(testbed, "long")
+    for old in range(3):
+        restart(testbed)
+        stop(testbed.processes[old])
+    assert send_request(testbed.client_address, "POST", "/api", b"", request_headers("long"))[0] == 409
+    for _ in range(2):
+        assert worker.call_back("long", state="done", result="it") == 204
+    assert pending()[::2] == (200, b"it")
+    assert len(worker.jobs) == 1 and not worker.cancelled, "it was sent again, or given up"
+
+
+@pytest.mark.usefixtures("long_deadline")
+def test_a_call_back_reaches_a_request_two_restarts_behind(testbed: DispatcherTestbed) -> None:
+    # Guards against a 204 for a result whose request is open in the predecessor of the predecessor.
+    worker, pending = start_with_running_request(testbed, "long")
+    for _ in range(2):
+        restart(testbed)
+    assert send_request(testbed.client_address, "POST", "/api", b"", request_headers("long"))[0] == 409
+    testbed.processes[0].send_signal(signal.SIGTERM)
+    testbed.processes[1].send_signal(signal.SIGTERM)
+    assert worker.call_back("long", state="done", result="it") == 204
+    assert pending()[::2] == (200, b"it")
+    assert all(process.wait(20) == 0 for process in testbed.processes[:2])
+
+
+@pytest.mark.usefixtures("long_deadline")
+def test_a_request_moves_on_through_restarts_that_overlap(testbed: DispatcherTestbed) -> None:
+    # Guards against a process that ends before its predecessor, or keeps what it adopts late in its stop.
+    worker, pending = start_with_running_request(testbed, "long")
+    for _ in range(2):
+        restart(testbed)
+    for process in testbed.processes[:2]:
+        process.send_signal(signal.SIGTERM)
+    assert all(process.wait(20) == 0 for process in testbed.processes[:2])
+    assert worker.call_back("long", state="done", result="it") == 204
+    assert pending()[::2] == (200, b"it")
+    assert len(worker.jobs) == 1 and not worker.cancelled, "it was sent again, or given up"
+
+
+@pytest.mark.usefixtures("long_deadline")
+def test_a_worker_cordoned_two_restarts_later_gets_no_retry(testbed: DispatcherTestbed) -> None:
+    # Guards against a cordon that ends at the direct predecessor of the process that received it.
+    first, second = (testbed.add_worker(f"s-{n}", seconds=60.0) for n in (1, 2))
+    admin = testbed.start_on_shared_socket()
+    wait_until(lambda: reports_ready(admin))
+    headers = request_headers("kept") | {"X-Call-Class": "reading", "Idempotency-Key": "k"}
+    pending = testbed.in_background(
+        lambda: send_request(testbed.client_address, "POST", "/api", b"", headers)
+    )
+    wait_until(lambda: len(first.jobs) + len(second.jobs) == 1)
+    runner, other = (first, second) if first.jobs else (second, first)
+    admin = [restart(testbed) for _ in range(2)][-1]
+    repeat_admin_command(admin, f"cordon {other.uid}")
+    assert runner.call_back("kept", state="failed") == 204
+    wait_until(lambda: bool(other.jobs) or len(runner.jobs) == 2)  # the only one left may repeat its report
+    assert not other.jobs
+    assert runner.call_back("kept", state="done", result="it") == 204
+    assert pending()[::2] == (200, b"it")
+
+
+def test_a_client_that_leaves_after_its_request_was_handed_over_has_its_job_cancelled(
+    testbed: DispatcherTestbed,
+) -> None:
+    # Guards against an adopted request that knows nothing of its client's end.
+    worker = testbed.add_worker("s-1", seconds=60.0)
+    admin = testbed.start_on_shared_socket()
+    wait_until(lambda: reports_ready(admin))
+    client = http.client.HTTPConnection(*testbed.client_address, timeout=30)
+    client.request("POST", "/api", b"", request_headers("left"))
+    wait_until(lambda: len(worker.jobs) == 1)
+    restart(testbed)
+    stop(testbed.processes[0])
+    client.close()
+    wait_until(lambda: bool(worker.cancelled))
+
+
 def test_an_admin_address_shared_by_both_processes_responds_throughout(testbed: DispatcherTestbed) -> None:
     testbed.add_worker("s-1")
     admin = testbed.start_on_shared_socket()
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -54,6 +54,9 @@
             attempt.stage = AttemptStage.WRITTEN
             self.sent_attempts.append(attempt)
 
+    def adopt_attempt(self, attempt: Attempt, address: tuple[str, int]) -> None:
+        raise NotImplementedError("nothing is handed over here")
+
     def abandon_attempt(self, attempt: Attempt) -> None:
         pass
 
