Tell a successor whether an earlier attempt may have run, where and when

What callers saw: a keyed job of a cell, failed at one runner and handed back by the next after an upgrade, was answered 503 though the first runner may have run it. Cause: the hand-over told the number of ended attempts and which reports may be repeated, not whether one may have run. Ruled out: the report (`returned` is true of the second attempt), the decision module (without the upgrade it retries in the cell). Change: PossibleRun (when, zone, cell) is part of a request's history, of both messages and of RequestArrived; core/retries.py decides by it alone. Jobs that wait after such an attempt go over too. A successor that does not say in `hello` that it reads histories gets none that may have run; the running job of a predecessor of a former version counts as one that may have.

--- a/grebestack/core/context.py
+++ b/grebestack/core/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 from grebestack.core.estimates import Estimates
@@ -30,12 +31,12 @@
         """Return a random delay in ms: 0.5 to 1.5 times the mean, doubled `doublings` times."""
         return mean_ms * 2.0 ** min(doublings, MAX_BACKOFF_DOUBLINGS) * self.random.uniform(0.5, 1.5)
 
-    def find_or_add_worker(self, name: str) -> TrackedWorker:
+    def find_or_add_worker(self, entry: WorkerEntry) -> TrackedWorker:
         """Return a worker; one that is not listed is added as gone until its attempts have ended."""
-        worker = self.workers.get(name)
+        worker = self.workers.get(entry.worker)
         if worker is None:
-            entry = WorkerEntry(name, state=WorkerState.GONE)
-            worker = self.workers[name] = TrackedWorker(entry, entry.zone == self.settings.zone)
+            gone = replace(entry, state=WorkerState.GONE)
+            worker = self.workers[entry.worker] = TrackedWorker(gone, gone.zone == self.settings.zone)
         return worker
 
     def update_worker(self, entry: WorkerEntry) -> bool:
--- a/grebestack/core/events.py
+++ b/grebestack/core/events.py
@@ -61,6 +61,19 @@
     ANY = "any"  # any outcome: the attempt has ended without a report
 
 
+@dataclass(frozen=True, slots=True)
+class PossibleRun:
+    """The first attempt of a request that may have run: where, and when it was sent.
+
+    It begins the retry window and fixes the group of workers that recognise an idempotency key. A zone or
+    cell that is not known any more is None.
+    """
+
+    sent_ms: float
+    zone: int | None
+    cell: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """One entry of the endpoint list."""
@@ -109,6 +122,7 @@
     earlier_attempts: int = 0
     avoided_workers: tuple[str, ...] = ()  # by `LaterReport.SAME`
     excluded_workers: tuple[str, ...] = ()  # by `LaterReport.ANY`
+    earlier_possible_run: PossibleRun | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +130,7 @@
     """A request was taken over from another process with its open attempt, which a worker has accepted."""
 
     arrival: RequestArrived  # its `earlier_attempts` don't count the open one
-    worker: str
+    worker: WorkerEntry  # as far as the other process told; one that is listed here counts as it is listed
     sent_ms: float
 
 
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -222,8 +222,7 @@
             if not request.awaited_attempts():
                 self._give_up(request)
             return
-        is_new = not request.attempts
-        if is_new and self.admission.is_shed(request.job_class):
+        if request.is_new and self.admission.is_shed(request.job_class):
             self._give_up(request)
         elif worker := self.selector.select(request):
             self._send(request, worker)
--- a/grebestack/core/requests.py
+++ b/grebestack/core/requests.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from grebestack.core.events import AttemptEnded, LaterReport, RequestArrived
+from grebestack.core.events import AttemptEnded, LaterReport, PossibleRun, RequestArrived
 from grebestack.core.settings import JobClass, Settings
 from grebestack.core.workers import Attempt, TrackedWorker
 
@@ -71,9 +71,21 @@
         name = worker.entry.worker
         return name in self.avoided_workers or name in self.excluded_workers
 
-    def possibly_executed(self) -> list[Attempt]:
-        """Return all attempts except those that certainly never ran."""
-        return [a for a in self.attempts if a.outcome is None or not a.outcome.never_ran]
+    @property
+    def is_new(self) -> bool:
+        """Whether there was no attempt, here or in a former process."""
+        return not (self.attempts or self.arrival.earlier_attempts)
+
+    @property
+    def first_possible_run(self) -> PossibleRun | None:
+        """The first attempt, here or in a former process, that is not proven never to have run."""
+        if self.arrival.earlier_possible_run is not None:
+            return self.arrival.earlier_possible_run
+        for attempt in self.attempts:
+            if attempt.outcome is None or not attempt.outcome.never_ran:
+                entry = attempt.worker.entry
+                return PossibleRun(attempt.sent_ms, entry.zone, entry.cell)
+        return None
 
 
 class RequestTable(dict[int, Request]):
--- a/grebestack/core/retries.py
+++ b/grebestack/core/retries.py
@@ -21,7 +21,7 @@
     return (
         effect is Effect.IDEMPOTENT
         or (effect is Effect.IDEMPOTENT_WITH_KEY and everywhere)
-        or not request.possibly_executed()
+        or request.first_possible_run is None
     )
 
 
@@ -40,8 +40,18 @@
         or len(request.attempts) >= limit
         or now_ms >= request.arrival.deadline_ms
     )
-    is_harmless = request.job_class.effect is not Effect.NOT_IDEMPOTENT or not request.possibly_executed()
-    return is_harmless and not is_excluded and now_ms <= send_by_ms(request)
+    return is_repeat_harmless(request) and not is_excluded and now_ms <= send_by_ms(request)
+
+
+def is_repeat_harmless(request: Request) -> bool:
+    """Whether another attempt can't execute a request twice, given the right worker and time."""
+    possible_run, effect = request.first_possible_run, request.job_class.effect
+    if possible_run is None or effect is Effect.IDEMPOTENT:
+        return True
+    if effect is Effect.NOT_IDEMPOTENT:
+        return False
+    is_group_known = possible_run.zone is not None and possible_run.cell is not None
+    return request.job_class.group is Group.ALL or is_group_known
 
 
 def send_by_ms(request: Request) -> float:
@@ -50,9 +60,10 @@
     A worker recognises an idempotency key for the retry window, which begins with the first attempt that may
     have been executed. The limit includes the time to establish a connection. Infinite if no window applies.
     """
-    with_key = request.job_class.effect is Effect.IDEMPOTENT_WITH_KEY
-    executed = with_key and request.possibly_executed()
-    return executed[0].sent_ms + request.job_class.retry_window_ms if executed else math.inf
+    possible_run = request.first_possible_run
+    if possible_run is None or request.job_class.effect is not Effect.IDEMPOTENT_WITH_KEY:
+        return math.inf
+    return possible_run.sent_ms + request.job_class.retry_window_ms
 
 
 def retry_scope(request: Request) -> tuple[int | None, int | None]:
@@ -61,11 +72,11 @@
     Once a request with an idempotency key may have been executed, only the workers of its group recognise the
     key.
     """
-    group, executed = request.job_class.group, request.possibly_executed()
-    if not executed or request.job_class.effect is not Effect.IDEMPOTENT_WITH_KEY or group is Group.ALL:
+    group, possible_run = request.job_class.group, request.first_possible_run
+    is_keyed = request.job_class.effect is Effect.IDEMPOTENT_WITH_KEY
+    if possible_run is None or not is_keyed or group is Group.ALL:
         return None, None
-    entry = executed[0].worker.entry
-    return entry.zone, entry.cell if group is Group.CELL else None
+    return possible_run.zone, possible_run.cell if group is Group.CELL else None
 
 
 def may_cancel_and_retry(request: Request, settings: Settings) -> bool:
--- a/grebestack/core/selection.py
+++ b/grebestack/core/selection.py
@@ -133,7 +133,7 @@
 
     def is_hopeless(self, request: Request) -> bool:
         """Whether a request without a worker is given up at once rather than queued."""
-        if not request.attempts and self.rejects_at_end[request.queue_key.class_index]:
+        if request.is_new and self.rejects_at_end[request.queue_key.class_index]:
             return True
         return may_reject(request) and self.has_no_candidate(request)
 
--- a/grebestack/hot_restart/messages.py
+++ b/grebestack/hot_restart/messages.py
@@ -37,8 +37,8 @@
 
 
 def hello() -> Message:
-    """Ask the serving process to hand over."""
-    return {TYPE_KEY: MessageType.HELLO, "version": PROTOCOL_VERSION}
+    """Ask the serving process to hand over; this version reads which attempts of a request may have run."""
+    return {TYPE_KEY: MessageType.HELLO, "version": PROTOCOL_VERSION, "attempt_history": True}
 
 
 def busy() -> Message:
--- a/grebestack/hot_restart/state_machine.py
+++ b/grebestack/hot_restart/state_machine.py
@@ -163,6 +163,7 @@
         self.peers: set[int] = set()  # those that have been sent, or have sent, a HELLO
         self.predecessor: int | None = None
         self.successor: int | None = None
+        self.successor_reads_history = False  # else it takes a handed over request for one that never ran
         self.has_inherited = False
         self.started = False
         self.accepting = False
@@ -262,6 +263,7 @@
             reason = "another hot restart or a stop is in progress"
             return [SendMessage(peer, messages.busy()), Disconnect(peer, reason)]
         self.successor = peer
+        self.successor_reads_history = bool(message.get("attempt_history"))
         self.peers.add(peer)
         return [SendInheritedState(peer), ShareCapacity(1 + len(self.peers))]
 
--- a/grebestack/program/hot_restart.py
+++ b/grebestack/program/hot_restart.py
@@ -50,7 +50,7 @@
         self.rendezvous = RendezvousListener(self.loop, path)
         self.state_machine = state_machine.HotRestart()
         self.channels = PeerChannels(self.loop, self)
-        self.handover = Handover(dispatcher, self.channels, lambda: self.state_machine.predecessor_open_ids)
+        self.handover = Handover(dispatcher, self.channels, self.state_machine)
         self.predecessor_attempts = checkpoint.InheritedAttempts(dispatcher.engine.policy)
         self.adoption = Adoption(dispatcher, self.state_machine.on_request_adopted, self._on_attempt_adopted)
         self.callbacks_by_query: dict[int, Callable[[bool | None], None]] = {}
--- a/grebestack/program/hot_restart_handover.py
+++ b/grebestack/program/hot_restart_handover.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
 from functools import partial
 
 from grebestack.hot_restart import messages
 from grebestack.hot_restart.messages import Message
+from grebestack.hot_restart.state_machine import HotRestart
 from grebestack.program.hot_restart_interface import RestartableDispatcher
 from grebestack.program.hot_restart_peers import PeerChannels
 from grebestack.program.hot_restart_reports import SuccessorReports
@@ -36,11 +36,10 @@
         self,
         dispatcher: RestartableDispatcher,
         channels: PeerChannels,
-        predecessor_open_ids: Callable[[], Iterable[str]],
+        state_machine: HotRestart,
     ) -> None:
         """Start without a successor; this process may still have a predecessor with open requests."""
-        self.dispatcher, self.channels = dispatcher, channels
-        self.predecessor_open_ids = predecessor_open_ids
+        self.dispatcher, self.channels, self.state_machine = dispatcher, channels, state_machine
         self.reports: SuccessorReports | None = None
         self.includes_in_flight = False
         self.handed_over_in_turn = 0
@@ -95,7 +94,7 @@
             for request in engine.requests.values()
             for attempt in request.open_attempts()
         ][-MAX_LISTED:]
-        open_call_ids = newest_call_ids([*self.predecessor_open_ids(), *engine.open_by_call_id])
+        open_call_ids = newest_call_ids([*self.state_machine.predecessor_open_ids, *engine.open_by_call_id])
         self.channels.send(successor, messages.handed_over(open_call_ids, attempts))
         keys = (attempt["key"] for attempt in attempts)
         reports = self.reports = SuccessorReports(self.channels, successor, open_call_ids, keys)
@@ -178,7 +177,9 @@
             responder = request.listener
             if not (isinstance(responder, PlatformResponder) and responder.connection.can_detach()):
                 continue
-            if engine.can_withdraw(request):
+            if not self._reads_history_of(request):
+                continue
+            if engine.is_waiting(request):
                 if not self._take_turn(successor):
                     return
                 self._hand_over_queued(successor, request, responder)
@@ -187,9 +188,14 @@
                     return
                 self._hand_over_running(successor, request, responder)
 
+    def _reads_history_of(self, request: Request) -> bool:
+        """Whether the successor would know which ended attempts may have run; former versions don't."""
+        is_unrun = request.ended_history().first_possible_run is None
+        return is_unrun or self.state_machine.successor_reads_history
+
     def _hand_over_queued(self, successor: int, request: Request, responder: PlatformResponder) -> None:
         self._report_move(request)
-        if self.dispatcher.engine.withdraw_unsent(request):
+        if self.dispatcher.engine.withdraw_waiting(request):
             message = queued_request_to_wire(request, responder.http_request)
             self._send_request(successor, responder, message)
 
--- a/grebestack/program/hot_restart_wire.py
+++ b/grebestack/program/hot_restart_wire.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from grebestack.core.api import LaterReport, Outcome
+from grebestack.core.api import LaterReport, Outcome, PossibleRun
 from grebestack.hot_restart import messages
 from grebestack.hot_restart.messages import Message
 from grebestack.protocol.platform import HandedOverJob
@@ -43,7 +43,10 @@
     reported_again = [
         [ended.callback_id, ended.outcome.value, ended.later_report.value] for ended in history.reported_again
     ]
-    return {"attempts": history.attempt_count, "reported_again": reported_again}
+    fields: Message = {"attempts": history.attempt_count, "reported_again": reported_again}
+    if (possible_run := history.first_possible_run) is not None:
+        fields["may_have_run"] = [possible_run.sent_ms, possible_run.zone, possible_run.cell]
+    return fields
 
 
 def request_history(message: Message) -> RequestHistory:
@@ -52,7 +55,15 @@
         EndedAttempt(str(callback_id), Outcome(outcome), LaterReport(later_report))
         for callback_id, outcome, later_report in message.get("reported_again", ())
     )
-    return RequestHistory(int(message.get("attempts", 0)), tuple(reported_again))
+    raw = message.get("may_have_run")
+    first_possible_run = None if raw is None else _possible_run(*raw)
+    return RequestHistory(int(message.get("attempts", 0)), tuple(reported_again), first_possible_run)
+
+
+def _possible_run(sent_ms: Any, zone: Any, cell: Any) -> PossibleRun:
+    return PossibleRun(
+        float(sent_ms), None if zone is None else int(zone), None if cell is None else int(cell)
+    )
 
 
 def queued_request_to_wire(request: Request, http_request: HttpRequest) -> Message:
@@ -71,6 +82,8 @@
         "worker": attempt.worker,
         "address": list(attempt.address),
         "sent_ms": attempt.sent_ms,
+        "zone": attempt.zone,
+        "cell": attempt.cell,
     }
     ambiguous = sorted(outcome.value for outcome in request.ambiguous_outcomes(attempt.callback_id))
     return messages.in_flight_request(
@@ -90,14 +103,19 @@
         raw = message["attempt"]
         host, port = raw["address"]
         attempt = InFlightAttempt(
-            str(raw["worker"]), callback_id, (str(host), int(port)), float(raw["sent_ms"])
+            str(raw["worker"]),
+            callback_id,
+            (str(host), int(port)),
+            float(raw["sent_ms"]),
+            int(raw["zone"]),
+            int(raw["cell"]),
         )
         return HandedOverJob(deadline_ms, request_history(message), attempt)
     name = next(iter(table.names_of({callback_id})), callback_id)
     known = table.workers.get(name)
     address = UNKNOWN_ADDRESS if known is None else known.address
     attempt = InFlightAttempt(name, callback_id, address, now_ms)
-    return HandedOverJob(deadline_ms, _history_of_former_version(message, callback_id), attempt)
+    return HandedOverJob(deadline_ms, _history_of_former_version(message, callback_id, now_ms), attempt)
 
 
 def in_flight_http_request(message: Message) -> HttpRequest:
@@ -108,10 +126,10 @@
     return HttpRequest(b"POST", b"/api", {b"x-call-id": str(call_id).encode("latin-1")})
 
 
-def _history_of_former_version(message: Message, callback_id: str) -> RequestHistory:
-    """Former versions tell only which outcomes of the worker prove nothing."""
+def _history_of_former_version(message: Message, callback_id: str, now_ms: float) -> RequestHistory:
+    """Former versions tell only which outcomes prove nothing: an earlier attempt may have run."""
     repeated = (
         EndedAttempt(callback_id, Outcome(outcome), LaterReport.SAME)
         for outcome in message.get("ambiguous", ())
     )
-    return RequestHistory(0, tuple(repeated))
+    return RequestHistory(0, tuple(repeated), PossibleRun(now_ms, None, None))
--- a/grebestack/protocol/http_workers.py
+++ b/grebestack/protocol/http_workers.py
@@ -319,7 +319,9 @@
     def hand_over(self, attempt: Attempt) -> InFlightAttempt:
         """Stop waiting for the call-back of an attempt, which another process awaits from now on."""
         address = self.exchanges.pop(self._key(attempt)).pool.address
-        return InFlightAttempt(attempt.worker, attempt.callback_id, address, attempt.sent_ms)
+        return InFlightAttempt(
+            attempt.worker, attempt.callback_id, address, attempt.sent_ms, attempt.zone, attempt.cell
+        )
 
     def cancel_attempt(self, attempt: Attempt) -> None:
         """Ask a worker to cancel an attempt, which is still waited for: it may end in another way first."""
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -28,6 +28,11 @@
     history: RequestHistory = NO_HISTORY
     in_flight: InFlightAttempt | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some attempt is not proven never to have run."""
+        return self.in_flight is not None or self.history.first_possible_run is not None
+
 
 class PlatformApi:
     """Opens a request for each job that is posted; its answer is sent on the connection of the job."""
@@ -157,7 +162,7 @@
             connection, http_request, job, handed_over.deadline_ms, history, handed_over.in_flight
         )
         if request is None:
-            connection.respond(409 if handed_over.in_flight is None else 502)
+            connection.respond(502 if handed_over.may_have_run else 409)
             return
         deadline_ms = min(self.deadline_before_kill_ms(handed_over.deadline_ms), self.latest_deadline_ms)
         self.engine.shorten_deadline(request, deadline_ms)
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -97,6 +97,7 @@
             history.attempt_count,
             self._workers_that_may_report(history, api.LaterReport.SAME),
             self._workers_that_may_report(history, api.LaterReport.ANY),
+            history.first_possible_run,
         )
         request = Request(call_id, arrival, payload, listener, history)
         self.requests[self.last_number] = self.open_by_call_id[call_id] = request
@@ -113,12 +114,15 @@
             in_flight.worker,
             in_flight.sent_ms,
             callback_id=in_flight.callback_id,
+            zone=in_flight.zone,
+            cell=in_flight.cell,
             stage=AttemptStage.ACCEPTED,
         )
         request.attempts.append(attempt)
         self.on_attempt_sent(attempt)
         self.workers.adopt_attempt(attempt, in_flight.address)
-        return api.RequestAdopted(request.arrival, attempt.worker, attempt.sent_ms)
+        worker = api.WorkerEntry(attempt.worker, attempt.zone, cell=attempt.cell)
+        return api.RequestAdopted(request.arrival, worker, attempt.sent_ms)
 
     def _workers_that_may_report(
         self, history: RequestHistory, later_report: api.LaterReport
@@ -153,13 +157,17 @@
         request.timer = self.clock.call_at(deadline_ms, partial(self._on_deadline, request))
         self._process(api.DeadlineShortened(request.number, deadline_ms))
 
-    def can_withdraw(self, request: Request) -> bool:
-        """Whether a request is open and no worker can have executed it."""
-        return not (request.closed or request.may_have_run)
-
     def withdraw_unsent(self, request: Request) -> bool:
         """Close a request without an answer if no worker can have executed it; return whether it was."""
-        if not self.can_withdraw(request):
+        return not request.may_have_run and self.withdraw_waiting(request)
+
+    def is_waiting(self, request: Request) -> bool:
+        """Whether a request is open and no worker has it; earlier attempts may have run."""
+        return not (request.closed or request.open_attempts())
+
+    def withdraw_waiting(self, request: Request) -> bool:
+        """Close a request without an answer if no worker has it; return whether it was."""
+        if not self.is_waiting(request):
             return False
         self._close(request)
         self.counts["withdrawn"] += 1
@@ -370,6 +378,8 @@
         now = self.clock.now_ms()
         callback_id = self.table.callback_id(action.worker)
         attempt = Attempt(request, len(request.attempts), action.worker, now, action.send_by_ms, callback_id)
+        if (worker := self.table.workers.get(action.worker)) is not None:
+            attempt.zone, attempt.cell = worker.entry.zone, worker.entry.cell
         request.attempts.append(attempt)
         if action.timeout_ms is not None:
             attempt.timer = self.clock.call_at(now + action.timeout_ms, partial(self._on_timeout, attempt))
--- a/grebestack/routing/requests.py
+++ b/grebestack/routing/requests.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from grebestack.core.api import LaterReport, Outcome, RequestArrived
+from grebestack.core.api import LaterReport, Outcome, PossibleRun, RequestArrived
 from grebestack.routing.interfaces import RequestListener, Timer
 
 
@@ -40,6 +40,8 @@
     sent_ms: float
     send_deadline_ms: float = math.inf  # the first byte is sent by then or not at all
     callback_id: str = ""  # the id that the call-backs of its worker carry
+    zone: int = 0  # of its worker, as its cell
+    cell: int = 0
     stage: AttemptStage = AttemptStage.UNSENT
     outcome: Outcome | None = None
     later_report: LaterReport = LaterReport.NONE  # once it has ended
@@ -57,10 +59,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHistory:
-    """The attempts of a request before this process accepted it: their number, and those still reported."""
+    """The ended attempts of a request before this process accepted it.
+
+    Parameters
+    ----------
+    attempt_count
+        How many there were.
+    reported_again
+        Those that their worker may still report.
+    first_possible_run
+        The first one that may have run; None if all are proven never to have run.
+    """
 
     attempt_count: int = 0
     reported_again: tuple[EndedAttempt, ...] = ()
+    first_possible_run: PossibleRun | None = None
 
 
 NO_HISTORY = RequestHistory()
@@ -74,6 +87,8 @@
     callback_id: str  # the id that the worker's call-backs carry
     address: tuple[str, int]
     sent_ms: float
+    zone: int = 0
+    cell: int = 0
 
 
 def ambiguous_outcomes(ended: Iterable[EndedAttempt], callback_id: str) -> frozenset[Outcome]:
@@ -105,8 +120,10 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether some attempt is not proven never to have run."""
-        return any(a.outcome is None or not a.outcome.never_ran for a in self.attempts)
+        """Whether some attempt, here or before, is not proven never to have run."""
+        return self.history.first_possible_run is not None or any(
+            a.outcome is None or not a.outcome.never_ran for a in self.attempts
+        )
 
     def reported_again(self) -> tuple[EndedAttempt, ...]:
         """The ended attempts, here or before, that a worker may still report."""
@@ -119,8 +136,13 @@
 
     def ended_history(self) -> RequestHistory:
         """What another process must know of the attempts that have ended, here or before."""
-        ended = sum(1 for a in self.attempts if a.outcome is not None)
-        return RequestHistory(self.arrival.earlier_attempts + ended, self.reported_again())
+        ended = [a for a in self.attempts if a.outcome is not None]
+        first_possible_run = self.history.first_possible_run or next(
+            (PossibleRun(a.sent_ms, a.zone, a.cell) for a in ended if a.outcome and not a.outcome.never_ran),
+            None,
+        )
+        attempt_count = self.arrival.earlier_attempts + len(ended)
+        return RequestHistory(attempt_count, self.reported_again(), first_possible_run)
 
     def ambiguous_outcomes(self, callback_id: str) -> frozenset[Outcome]:
         """The outcomes whose report by a worker proves nothing of an attempt in flight."""
--- a/tests/golden_handover.py
+++ b/tests/golden_handover.py
@@ -100,7 +100,9 @@
     request.attempts.append(Attempt(request, 3, "runner-1", 4000.25))
     ended = Attempt(request, 2, "runner-2", 3000.25, callback_id="runner-2", outcome=Outcome.REJECTED)
     ended.later_report = LaterReport.SAME
-    request.attempts.append(ended)
+    failed = Attempt(request, 1, "runner-3", 2000.25, callback_id="runner-3", outcome=Outcome.RESET)
+    failed.zone, failed.cell = 1, 4
+    request.attempts += [ended, failed]
     dispatcher.table, dispatcher.lifecycle.quiesced, dispatcher.lifecycle.retired = table, True, True
     dispatcher.list_reader.unix_to_clock_ms = -123.5
     dispatcher.http_workers.on_callback.return_value = CallbackResult.ACCEPTED
@@ -111,7 +113,7 @@
     engine.policy, engine.settings = policy_with_state(), BASE
     engine.requests, engine.open_by_call_id = {41: request}, {"job-1": request}
     engine.open_requests.return_value = [request]
-    engine.withdraw_unsent.return_value = True
+    engine.withdraw_waiting.return_value = True
     engine.hand_over.return_value = request.attempts[0]
     return dispatcher
 
@@ -126,7 +128,7 @@
     runner = HotRestartRunner(dispatcher, folder)
     channels: Any = runner.channels.by_peer
     channels[PEER] = channel
-    runner.state_machine.successor = PEER
+    runner.state_machine.successor, runner.state_machine.successor_reads_history = PEER, True
     runner._execute_one(state_machine.RunCommand(PEER, 5, "cordon", "runner-1"))
     runner._execute_one(state_machine.DeliverCallback(PEER, 6, "the body of a call-back"))
     runner._execute_one(state_machine.SendInheritedState(PEER))
@@ -137,7 +139,7 @@
     engine.on_attempt_ended(request.attempts[0])
     engine.on_request_closed("job-1")
     dispatcher.acceptor.hand_over.call_args.args[0](connection, True)
-    engine.can_withdraw.return_value = False  # a worker has it by now
+    engine.is_waiting.return_value = False  # a worker has it by now
     runner.hand_over_in_flight()
     return channel.messages
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -200,6 +200,7 @@
     def __init__(self, uid: str, testbed: DispatcherTestbed, seconds: float = 0.0) -> None:
         self.uid, self.testbed, self.job_seconds = uid, testbed, seconds
         self.state = "Ready"
+        self.cell = 0
         self.status = 202
         self.final_state = "done"
         self.jobs: list[ReceivedJob] = []
@@ -271,7 +272,7 @@
                 "endpoint": f"127.0.0.1:{worker.address[1]}",
                 "az": "here",
                 "model": "c8",
-                "pod_group": 0,
+                "pod_group": worker.cell,
                 "state": worker.state,
                 "capacity_hint": 1.0,
                 "boot_ms": 0,
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -465,6 +465,46 @@
     assert pending()[::2] == (200, b"it")
 
 
+@pytest.mark.usefixtures("long_deadline")
+@pytest.mark.parametrize("first_outcome", ["failed", "lost"])
+@pytest.mark.parametrize("restarts", [1, 2])
+def test_a_job_handed_back_after_a_restart_may_still_have_run_before(
+    testbed: DispatcherTestbed, monkeypatch: pytest.MonkeyPatch, first_outcome: str, restarts: int
+) -> None:
+    # Guards against a 503, or a retry in another cell, for a job of which only the last attempt never ran.
+    monkeypatch.setitem(SETTINGS["services"][1], "group", "cell")
+    workers = [testbed.add_worker(f"s-{n}", seconds=60.0) for n in range(4)]
+    for worker in workers[2:]:
+        worker.cell = 1
+    admin = testbed.start_on_shared_socket()
+    wait_until(lambda: reports_ready(admin))
+    headers = request_headers("read") | {"X-Call-Class": "reading", "Idempotency-Key": "k"}
+    pending = testbed.in_background(
+        lambda: send_request(testbed.client_address, "POST", "/api?q=1", b"meter", headers)
+    )
+
+    def worker_of_attempt(number: int) -> WorkerStandIn:
+        wait_until(lambda: sum(len(worker.jobs) for worker in workers) == number)
+        return max((worker for worker in workers if worker.jobs), key=lambda worker: worker not in seen)
+
+    seen: list[WorkerStandIn] = []
+    seen.append(worker_of_attempt(1))
+    assert seen[0].call_back("read", state=first_outcome) == 204
+    seen.append(worker_of_attempt(2))
+    for old in range(restarts):
+        restart(testbed)
+        stop(testbed.processes[old])
+    assert seen[1].call_back("read", state="returned") == 204
+    wait_until(lambda: sum(len(worker.jobs) for worker in workers) == 3)
+    cells = {worker.cell for worker in workers if worker.jobs}
+    assert cells == {seen[0].cell}
+    last = next(worker for worker in workers if len(worker.jobs) == 2)
+    assert (last.jobs[1].path, last.jobs[1].body) == ("/api?q=1", b"meter")
+    assert last.jobs[1].headers["idempotency-key"] == "k"
+    assert last.call_back("read", state="done", result="it") == 204
+    assert pending()[::2] == (200, b"it")
+
+
 def test_a_client_that_leaves_after_its_request_was_handed_over_has_its_job_cancelled(
     testbed: DispatcherTestbed,
 ) -> None:
