Bound the fields of a head, and the memory that the requests of all connections hold

What callers saw: 900 connections with unfinished heads of 3,000 short fields: 376 MB with a limit of 192, others lost 147 of 851 answers. Cause: bytes of names and values were bounded for one connection, not the number of fields, and nothing for all together; refused connections that linger counted towards the limit, in the place of ordinary clients. Ruled out: the buffers of the parser (bounded before), responses (100 bytes each in these floods). Change: 100 fields a head (431, and its parsing ends), also in responses of runners; each request counts what it holds until it is responded to, with one bound on the sum, a sixth of limits.memory_mb: the slowest incomplete requests are refused (503), then what waits behind handled ones (400), then new jobs (503). Lingering connections make room first. A connection whose queued request waits because its client does not read stays in a group, so that it times out (known red before, its test is unchanged).

--- a/grebestack/drmaa/api.py
+++ b/grebestack/drmaa/api.py
@@ -177,7 +177,7 @@
                 self._respond(connection, 200, schema())
             case ("POST", ["drmaa2", "jobs"]):
                 job, new = service.submit(
-                    idempotency_key(request), self.templates.new_job(raw), connection.over_limit
+                    idempotency_key(request), self.templates.new_job(raw), connection.is_overloaded
                 )
                 content = {"jobId": job.id, "jobState": job.state}
                 self._respond(connection, CREATED if new else FOUND, content)
@@ -244,7 +244,7 @@
             True,
             bulk.max_parallel,
             self._on_recorded(connection),
-            connection.over_limit,
+            connection.is_overloaded,
         )
 
     def _run_graph(self, connection: Connection, key: str, raw: Any) -> None:
@@ -263,7 +263,7 @@
             False,
             None,
             self._on_recorded(connection),
-            connection.over_limit,
+            connection.is_overloaded,
         )
 
     def _on_recorded(self, connection: Connection) -> Callable[[Batch | JobError], None]:
--- a/grebestack/program/client_listener.py
+++ b/grebestack/program/client_listener.py
@@ -14,6 +14,8 @@
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024  # clients or workers' callbacks that connect at the same moment
+BYTES_PER_MB = 1024 * 1024
+HELD_SHARE_OF_MEMORY = 6.0  # the rest is for the program, its connections, and copies
 _OWN_SOCKETS = 48  # standard streams, event loop, listeners, discovery, clients that are rejected
 _ADMIN_SOCKETS = 20  # reserved for the admin server, if there is one
 _OWN_SOCKETS_IN_RESTART = 44  # the sum of both, for each process of a hot restart
@@ -29,6 +31,12 @@
     workers: int
 
 
+def held_bytes_limit(config: Config, processes: int = 1) -> int:
+    """The memory that the requests of one API server may hold, in each process of a hot restart."""
+    api_servers = 1 if config.drmaa is None else 2
+    return int(config.max_memory_mb * BYTES_PER_MB / HELD_SHARE_OF_MEMORY) // (api_servers * processes)
+
+
 def connection_limits(config: Config, processes: int = 1) -> ConnectionLimits:
     """Divide the configured sockets among clients and workers, for each process of a hot restart."""
     # An API server accepts an eighth more clients than its limit, to answer those that it rejects.
--- a/grebestack/program/config/model.py
+++ b/grebestack/program/config/model.py
@@ -150,6 +150,7 @@
     settings: Settings
     seed: int = 0
     max_sockets: int = 1024
+    max_memory_mb: float = 192.0
     cached_list: Mapping[str, Any] = field(default_factory=dict)
     worker_source: WorkerSource = field(default_factory=WorkerSource)
     drmaa: DrmaaConfig | None = None
--- a/grebestack/program/config/platform.py
+++ b/grebestack/program/config/platform.py
@@ -82,6 +82,7 @@
         settings=parse_settings(options),
         seed=int(str(raw.get("seed", "0")), 16),
         max_sockets=int((raw.get("limits") or {}).get("sockets", 1024)),
+        max_memory_mb=float((raw.get("limits") or {}).get("memory_mb", 192.0)),
         cached_list=raw.get("known") or {},
         listen_fd=_descriptor(environ.get("RELAY_LISTEN_FD")),
         control=control_address(environ.get("RELAY_CONTROL") or raw.get("control")),
--- a/grebestack/program/config_reload.py
+++ b/grebestack/program/config_reload.py
@@ -28,6 +28,7 @@
     "listen": "listen",
     "control": "control",
     "max_sockets": "sockets",
+    "max_memory_mb": "memory_mb",
     "drmaa": "drmaa",
     "accepts_requests": "platform",
     "membership": "membership",
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -21,6 +21,7 @@
     BACKLOG,
     ClientListener,
     connection_limits,
+    held_bytes_limit,
     sweep_periodically,
 )
 from grebestack.program.config.model import Config, DrmaaConfig
@@ -77,6 +78,7 @@
             self.engine, config.settings, self.http_workers.on_callback, config.accepts_requests
         )
         self.acceptor = Acceptor(self.platform_api, limits.clients)
+        self.acceptor.set_max_held_bytes(held_bytes_limit(config))
         self.listener = ClientListener(loop, config, self.acceptor)
         self.lifecycle = Lifecycle()
         self.job_service: JobService | None = None
@@ -141,6 +143,7 @@
         """Limit connections to the share of one of `processes` processes in a hot restart."""
         limits = connection_limits(self.config, processes)
         self.acceptor.set_max_connections(limits.clients)
+        self.acceptor.set_max_held_bytes(held_bytes_limit(self.config, processes))
         self.pools.set_max_connections(limits.workers)
 
     def stop_listening(self) -> None:
@@ -233,6 +236,7 @@
             self.engine, self.http_workers, self.config, config, self.membership_adapter, self.cluster_member
         )
         acceptor = Acceptor(api, self.acceptor.max_connections, config.max_body_bytes)
+        acceptor.set_max_held_bytes(held_bytes_limit(self.config))
         sweep_periodically(self.loop, acceptor)
         await self.loop.create_server(acceptor, *config.listen, backlog=BACKLOG)
         log.info("drmaa_listening", extra={"kv": {"address": ":".join(map(str, config.listen))}})
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -129,7 +129,7 @@
         except MalformedFieldError as error:
             self._answer_malformed(connection, error.name, http_request)
             return
-        if connection.over_limit or self.rejecting:
+        if connection.is_overloaded or self.rejecting:
             self.reject(connection, self.max_retry_after_ms)
             return
         # During a planned stop clients can't open new connections. A job on the last free one would leave the
@@ -157,7 +157,7 @@
         except MalformedFieldError:
             job = self.job_parser.unsendable(http_request)
             history = replace(history, attempt_count=self.engine.settings.max_attempts)
-        connection.adopt_request()
+        connection.adopt_request(http_request)
         request = self._open(
             connection, http_request, job, handed_over.deadline_ms, history, handed_over.in_flight
         )
--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 DEFAULT_MAX_BODY_BYTES = 256 * 1024  # of a response
 MAX_HEAD_BYTES = 64 * 1024  # of all that a response holds besides its body
+MAX_HEADER_FIELDS = 100  # each takes memory beside its bytes
 INITIAL_ROUND_TRIP_S = 0.012  # assumed until a shorter one is seen
 MIN_LAST_BYTE_DELAY_S = 0.002
 STALE_RESET_S = 0.05  # a reset within this time of a request shows that the connection was already dead
@@ -98,6 +99,7 @@
         self.body_parts: list[bytes] = []
         self.head_complete = self.complete = self.keep_alive = self.response_begun = self.has_excess = False
         self.received_bytes = 0  # of the response, headers and body
+        self.header_fields = 0  # of all its heads, interim responses included
         if exchange.delays_last_byte:
             data, self.delayed_byte = data[:-1], data[-1:]
             self.delayed_byte_timer = self.pool.pools.loop.call_later(
@@ -161,7 +163,10 @@
         self.has_excess = self.complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete:
+        self.header_fields += 1
+        if self.header_fields > MAX_HEADER_FIELDS:
+            self.abort()
+        elif not self.complete:
             self.response.headers[name.lower()] = value.strip(b" \t")  # the parser keeps trailing blanks
 
     def on_headers_complete(self) -> None:
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -18,6 +18,9 @@
 log = logging.getLogger(__name__)
 DEFAULT_MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADER_FIELDS = 100
+HEADER_FIELD_OVERHEAD_BYTES = 150  # of memory, beside the name and the value
+DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024
 MAX_PIPELINED_REQUESTS = 2  # requests that a client may send before the response to an earlier one
 REQUEST_TIMEOUT_S = 2.3  # for a complete request, from its first byte or the opening of its connection
 LINGER_TIMEOUT_S = 2.0  # for a client to close its side after the last response
@@ -56,6 +59,7 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
+    held_bytes: int = 0  # memory that it takes, about
 
     @property
     def path(self) -> bytes:
@@ -63,6 +67,10 @@
         return self.target.partition(b"?")[0]
 
 
+class HeadTooLargeError(Exception):
+    """Ends the parsing of a head; the parser reports it as its own error."""
+
+
 class DrainScope(Enum):
     """Which connections are drained: closed when idle, or with their next response."""
 
@@ -108,12 +116,14 @@
         self.discarded_bytes = 0
         self.completed_requests = 0
         self.incomplete_bytes = 0  # received since the parser last reported a complete part of head or body
+        self.held_bytes = 0  # of memory, by all its requests that are not responded to
+        self.current_bytes = 0  # of these, by the request that is handled
         self._reset_request()
 
     def _reset_request(self) -> None:
         self.request = HttpRequest()
         self.body_parts: list[bytes] = []
-        self.body_bytes = self.head_bytes = 0
+        self.body_bytes = self.head_bytes = self.header_fields = 0
         self.head_complete = False  # headers that follow are trailers
         self.request_begun = False  # part of a request has arrived, and not all of it
 
@@ -133,16 +143,21 @@
 
     def data_received(self, data: bytes) -> None:
         if self.closing or self.refusal_status is not None:
-            self.discarded_bytes += len(data)  # it follows the last request that is accepted
-            if self.discarded_bytes > MAX_DISCARDED_BYTES and self.lingering and self.transport is not None:
-                self.transport.abort()
+            self._discard(len(data))  # it follows the last request that is accepted
             return
+        self._parse(data)
+        self.acceptor.limit_held_bytes(self)
+
+    def _discard(self, size: int) -> None:
+        self.discarded_bytes += size
+        if self.discarded_bytes > MAX_DISCARDED_BYTES and self.lingering and self.transport is not None:
+            self.transport.abort()
+
+    def _parse(self, data: bytes) -> None:
         completed, body_bytes, head_complete = self.completed_requests, self.body_bytes, self.head_complete
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refusal_status = self.refusal_status or 400
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.refusal_status = self.refusal_status or 400
         if (
             self.request_begun
@@ -160,28 +175,44 @@
             self.acceptor.on_request_begun(self)
 
     def on_request_timeout(self) -> None:
-        """Refuse an incomplete request, or close a connection without one."""
-        if self.request_begun:
-            self.refusal_status = 408
-            self._refuse()
-        else:
-            self.close()
+        """Refuse an incomplete or unhandled request, or close a connection without one."""
+        self._refuse_or_close(408)
 
     def evict(self) -> None:
-        """Make room for another connection; an incomplete request is refused, and its client may retry."""
-        if self.request_begun:
-            self.refusal_status = 503
+        """Make room for others; a request that is not handled yet is refused, and its client may retry."""
+        # The response to one that is handled must not tell that a retry is harmless.
+        self._refuse_or_close(400 if self.busy else 503)
+
+    def _refuse_or_close(self, status: int) -> None:
+        if self.has_unhandled_request:
+            self.refusal_status = status
             self._refuse()
         else:
             self.close()
 
+    @property
+    def has_unhandled_request(self) -> bool:
+        """Whether a request is incomplete, or waits behind another."""
+        return self.request_begun or bool(self.queued)
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether a new job can't be taken: there are too many connections, or too much memory is held."""
+        return self.over_limit or self.acceptor.is_memory_full
+
+    def disconnect(self) -> None:
+        """End the connection of a client that is gone; `on_disconnect` follows."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def eof_received(self) -> bool:
         return False  # a client that has closed its side counts as gone
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.closing, self.is_opening = True, False
-        self.queued.clear()
+        self._drop_unhandled()
+        self._set_held_bytes(0)
         self.acceptor.on_closed(self)
         if self.busy:
             self.busy = False
@@ -207,17 +238,40 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.head_complete:
             return
-        self._count_head(len(name) + len(value))
+        self.header_fields += 1
+        self._count_head(len(name) + len(value), HEADER_FIELD_OVERHEAD_BYTES)
         # Blanks after a value are allowed and are no part of it, and the parser keeps them.
         name, value = name.lower(), value.strip(b" \t")
+        if self.refusal_status is not None:
+            return
         if name in SINGLE_HEADERS and name in self.request.headers:
             self.refusal_status = 400
         self.request.headers[name] = value
 
-    def _count_head(self, size: int) -> None:
+    def _count_head(self, size: int, overhead: int = 0) -> None:
         self.head_bytes += size
-        if self.head_bytes > MAX_HEAD_BYTES:
+        self._hold(size + overhead)
+        if self.head_bytes > MAX_HEAD_BYTES or self.header_fields > MAX_HEADER_FIELDS:
             self.refusal_status = 431
+            raise HeadTooLargeError
+
+    # The memory that requests hold until they are responded to.
+
+    def _hold(self, size: int) -> None:
+        self.request.held_bytes += size
+        self._set_held_bytes(self.held_bytes + size)
+
+    def _set_held_bytes(self, size: int) -> None:
+        self.acceptor.held_bytes += size - self.held_bytes
+        self.held_bytes = size
+
+    def _drop_unhandled(self) -> None:
+        """Forget the requests that are incomplete or wait behind the one that is handled."""
+        self.queued.clear()
+        self.request, self.body_parts = HttpRequest(), []
+        self._set_held_bytes(self.current_bytes)
+
+    # The parser's callbacks, continued.
 
     def on_headers_complete(self) -> None:
         headers = self.request.headers
@@ -239,6 +293,7 @@
             self.refusal_status = 413
             self.body_parts.clear()
         elif self.refusal_status is None:
+            self._hold(len(body))
             self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
@@ -250,6 +305,7 @@
         request.method = self.parser.get_method()
         request.keep_alive = self.parser.should_keep_alive()
         request.body = b"".join(self.body_parts)
+        self.request, self.body_parts = HttpRequest(), []
         self.queued.append(request)
         if len(self.queued) > MAX_PIPELINED_REQUESTS:
             self.refusal_status = 400
@@ -260,7 +316,7 @@
 
     def _refuse(self) -> None:
         """Respond at once to a client that breaks the protocol, even while an earlier request is handled."""
-        self.queued.clear()
+        self._drop_unhandled()
         if self.busy and not self.closing:
             self.closing = True
             self.acceptor.handler.on_disconnect(self)
@@ -273,6 +329,7 @@
         while self.queued and not self.busy and not self.writing_paused and not self.closing:
             request = self.queued.popleft()
             self.busy, self.closing = True, not request.keep_alive
+            self.current_bytes = request.held_bytes
             self.acceptor.on_busy(self)
             try:
                 self.acceptor.handler.on_request(self, request)
@@ -292,6 +349,8 @@
             self.early_response = status, body, headers
             return
         self.busy = False
+        self._set_held_bytes(self.held_bytes - self.current_bytes)
+        self.current_bytes = 0
         if self.transport is None:
             return
         self.closing = self.closing or self.acceptor.is_draining(self)
@@ -305,6 +364,8 @@
             self._linger()
         elif self.queued or self.refusal_status is not None:
             self._handle_next()
+            if self.queued and not self.busy and not self.closing:  # the client doesn't read its responses
+                self.acceptor.on_request_begun(self)
         elif self.request_begun:
             self.acceptor.on_request_begun(self)
         else:
@@ -330,9 +391,11 @@
         self.transport.abort()
         return descriptor
 
-    def adopt_request(self) -> None:
+    def adopt_request(self, request: HttpRequest) -> None:
         """Take over a request that another process has read; its response may come before the opening."""
         self.busy = self.is_opening = True
+        self.current_bytes = len(request.body)
+        self._set_held_bytes(self.current_bytes)
 
     def _close_now(self) -> None:
         """Close the socket; if a request is unread, the client gets a reset and can safely send it again."""
@@ -355,8 +418,9 @@
 class Acceptor:
     """Makes the protocol objects of new connections and limits how many there are.
 
-    Beyond the limit, the oldest connection of the larger group is closed: of those that are idle, or of those
-    that await a request. So many silent connections displace each other, not the clients that are served.
+    Beyond the limit, the oldest connection that lingers after its last response is closed, else the oldest of
+    the larger group: of those that are idle, or of those that await a request. So many silent connections
+    displace each other, not the clients that are served.
     """
 
     def __init__(
@@ -369,6 +433,8 @@
         self.awaiting_request: OrderedDict[Connection, float] = OrderedDict()  # since when
         self.lingering: OrderedDict[Connection, float] = OrderedDict()  # since when
         self.drain_scope = DrainScope.NONE
+        self.held_bytes = 0  # of memory, by all requests that are not responded to
+        self.max_held_bytes = max(DEFAULT_MAX_HELD_BYTES, 2 * max_body_bytes)
         self.hand_over_idle: Callable[[Connection, bool], bool] | None = None  # see `hand_over`
 
     def __call__(self) -> Connection:
@@ -379,7 +445,13 @@
         self.connections.add(connection)
         if len(self.connections) > self.max_connections:
             group = self.awaiting_request if len(self.awaiting_request) > len(self.idle) else self.idle
-            if group:
+            lingering = next(
+                (c for c in self.lingering if c.lingering), None
+            )  # the others are closed already
+            if lingering is not None:
+                del self.lingering[lingering]
+                lingering.disconnect()
+            elif group:
                 next(iter(group)).evict()
             else:
                 connection.over_limit = True
@@ -403,6 +475,29 @@
         self.idle.pop(connection, None)
         self.lingering[connection] = time.monotonic()
 
+    @property
+    def is_memory_full(self) -> bool:
+        """Whether requests hold more memory than they may."""
+        return self.held_bytes > self.max_held_bytes
+
+    def limit_held_bytes(self, newest: Connection) -> None:
+        """Refuse the slowest incomplete requests while they hold too much; if there are none, the newest one.
+
+        Requests that are handled are answered in any case.
+        """
+        while self.is_memory_full:
+            slowest = next((c for c in self.awaiting_request if c.has_unhandled_request), None)
+            if slowest is None:
+                if newest.has_unhandled_request:
+                    newest.evict()
+                return
+            del self.awaiting_request[slowest]
+            slowest.evict()
+
+    def set_max_held_bytes(self, max_held_bytes: int) -> None:
+        """Set the limit; a request of the largest size always fits."""
+        self.max_held_bytes = max(max_held_bytes, 2 * self.max_body_bytes)
+
     def sweep(self) -> None:
         """End the connections whose timeout is over."""
         now = time.monotonic()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, TextIO, TypeVar
 
 from tests.ports import reserved_port
 
@@ -316,6 +316,7 @@
         self.client_address: Address = ("127.0.0.1", reserved_port())
         self.admin_address: Address = ("127.0.0.1", reserved_port())
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.log: TextIO | None = None  # where the processes write their log, if not to the test's own
         self.initial_list: dict[str, Any] = {}  # the worker list that a dispatcher is started with
         # The listening socket for clients, if the testbed owns it.
         self.shared_socket: socket.socket | None = None
@@ -371,14 +372,16 @@
         }
         command = [sys.executable, "-m", "grebestack"]
         self.processes.append(
-            subprocess.Popen(command, env=os.environ | environ, pass_fds=[self.shared_socket.fileno()])
+            subprocess.Popen(
+                command, env=os.environ | environ, pass_fds=[self.shared_socket.fileno()], stderr=self.log
+            )
         )
         return admin_address
 
     def launch(self, arguments: list[str], environ: dict[str, str]) -> None:
         """Start the program and wait until it is ready."""
         command = [sys.executable, "-m", "grebestack", *arguments]
-        self.processes.append(subprocess.Popen(command, env=os.environ | environ))
+        self.processes.append(subprocess.Popen(command, env=os.environ | environ, stderr=self.log))
 
         wait_until(self.is_ready)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -24,7 +24,7 @@
 class FakeTransport:
     """A transport that records what is written and whether it is closed."""
 
-    def __init__(self, protocol: asyncio.Protocol) -> None:
+    def __init__(self, protocol: Any) -> None:
         self.protocol, self.written, self.closed, self.disconnected = protocol, b"", False, False
         self.write_closed = False  # by `write_eof`: the other side may go on sending
         protocol.connection_made(cast(asyncio.Transport, self))
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,140 @@
+"""Clients that send too much or at full speed, or have left: memory, turns of the loop, what is sent on."""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import socket
+from pathlib import Path
+from typing import cast
+
+import pytest
+
+from grebestack.transport import server
+from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher
+from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed
+from tests.test_connections import FakeTransport, RecordingHandler, SilentHandler
+
+MEMORY_MB = 192
+FLOOD_CONNECTIONS = 600
+BODY = b"x" * 60_000
+
+
+def connection_of(transport: FakeTransport) -> server.Connection:
+    return cast(server.Connection, transport.protocol)
+
+
+def half_request(size: int) -> bytes:
+    """A request whose body of this size is complete up to its last byte."""
+    return b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (size, b"x" * (size - 1))
+
+
+# Memory.
+
+
+@pytest.mark.parametrize("line", [b"%d:\r\n", b"x%d: and more\r\n"])
+def test_a_head_of_very_many_short_fields_is_refused(line: bytes) -> None:
+    # Guards memory: a field takes far more than its bytes.
+    acceptor = server.Acceptor(SilentHandler(), max_connections=8)
+    transport = FakeTransport(acceptor())
+    head = b"POST / HTTP/1.1\r\n" + b"".join(line % number for number in range(3000))
+    for at in range(0, len(head), 1000):
+        transport.protocol.data_received(head[at : at + 1000])
+    assert transport.written.startswith(b"HTTP/1.1 431") and transport.write_closed
+    assert acceptor.held_bytes == 0 and len(connection_of(transport).request.headers) == 0
+
+
+def test_a_head_of_as_many_fields_as_are_allowed_is_handled() -> None:
+    handler = RecordingHandler()
+    fields = b"".join(b"x%d: 1\r\n" % number for number in range(server.MAX_HEADER_FIELDS))
+    transport = FakeTransport(server.Acceptor(handler, max_connections=8)())
+    transport.protocol.data_received(b"GET / HTTP/1.1\r\n" + fields + b"\r\n")
+    assert len(handler.requests) == 1 and transport.written.startswith(b"HTTP/1.1 200")
+
+
+def test_incomplete_requests_hold_no_more_memory_than_allowed() -> None:
+    # Guards memory: many connections, each within its own limits, together fill it. The slowest are refused.
+    acceptor = server.Acceptor(SilentHandler(), max_connections=100)
+    acceptor.set_max_held_bytes(1_000_000)
+    transports = []
+    for _ in range(40):
+        transports.append(FakeTransport(acceptor()))
+        transports[-1].protocol.data_received(half_request(60_000))
+        assert acceptor.held_bytes <= 1_000_000
+    refused = [transport.written.startswith(b"HTTP/1.1 503") for transport in transports]
+    assert refused == sorted(refused, reverse=True) and 20 < sum(refused) < 30
+    for transport in transports:
+        transport.disconnect()
+    assert acceptor.held_bytes == 0
+
+
+def test_requests_behind_one_that_is_handled_count_as_held_memory() -> None:
+    # Guards memory, and against a 503 for the request that is handled: it may have run.
+    acceptor = server.Acceptor(SilentHandler(), max_connections=100)
+    acceptor.set_max_held_bytes(200_000)
+    transport = FakeTransport(acceptor())
+    transport.protocol.data_received(half_request(60_000) + b"x")
+    other = FakeTransport(acceptor())
+    other.protocol.data_received(half_request(60_000) + b"x")
+    transport.protocol.data_received(half_request(60_000) + b"x")
+    assert not transport.written and not acceptor.is_memory_full
+    transport.protocol.data_received(half_request(60_000))
+    assert transport.written.startswith(b"HTTP/1.1 400") and not other.written
+    assert acceptor.held_bytes < 130_000
+
+
+def test_a_job_is_refused_while_accepted_ones_hold_all_memory() -> None:
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        dispatcher.set_worker_states(["Terminating"])
+        dispatcher.acceptor.set_max_held_bytes(0)  # two of the largest bodies
+        clients = [dispatcher.client() for _ in range(3)]
+        for number, client in enumerate(clients):
+            client.send_job(f"job-{number}", "order", body=BODY)
+            await dispatcher.run_loop()
+        await dispatcher.wait_until(lambda: any(client.status for client in clients))
+        assert [client.status for client in clients] == [0, 0, 503]
+        assert len(dispatcher.engine.open_by_call_id) == 2
+
+    run_with_dispatcher(test)
+
+
+def peak_mb(pid: int) -> float:
+    """The highest resident memory of a process so far."""
+    match = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text(encoding="ascii"))
+    assert match is not None
+    return int(match[1]) / 1024.0
+
+
+def send_on_many_connections(address: Address, pieces: list[bytes]) -> list[socket.socket]:
+    """Send the pieces in turn on many connections; some may be ended meanwhile."""
+    sockets = [socket.create_connection(address, 20.0) for _ in range(FLOOD_CONNECTIONS)]
+    for piece in pieces:
+        for sock in sockets:
+            with contextlib.suppress(OSError):
+                sock.sendall(piece)
+    return sockets
+
+
+MANY_FIELDS = [b"POST /api HTTP/1.1\r\n", *[b"".join(b"%x:\r\n" % n for n in range(3000))] * 3]
+HALF_BODY = [
+    b"POST /api HTTP/1.1\r\nX-Call-Id: a\r\nX-Call-Class: order\r\nContent-Length: 64000\r\n\r\n",
+    BODY,
+]
+
+
+@pytest.mark.parametrize("pieces", [MANY_FIELDS, HALF_BODY], ids=["many fields", "half a body"])
+def test_a_flood_of_unfinished_requests_leaves_half_of_the_memory(
+    testbed: DispatcherTestbed, monkeypatch: pytest.MonkeyPatch, pieces: list[bytes]
+) -> None:
+    # Guards against a process that passes its memory limit and is killed.
+    limits = {"sockets": 1024, "memory_mb": MEMORY_MB}
+    monkeypatch.setitem(PLATFORM_CONFIG, "limits", limits)
+    testbed.add_worker("s-1")
+    address = testbed.start()
+    sockets = send_on_many_connections(address, pieces)
+    try:
+        assert testbed.is_ready()
+        assert peak_mb(testbed.process.pid) < MEMORY_MB / 2
+    finally:
+        for sock in sockets:
+            sock.close()
