Give each connection a share of a turn of the event loop, and log how long the loop was held up

What callers saw: one client that pipelined small unsound requests at full speed: eight others had a quarter of their answers and waited up to 5.8 s; the watch of discovery was called silent. Cause: a request that is answered at once has the next one handled in the same callback, and the transport reads on as long as there is data, so that the loop had no other turn. Ruled out: garbage collection and the log (one line a second); one request at a time at the same rate harms nobody. Change: a read brings 16 KiB, of which a connection handles 16 requests or the next KiB; a TurnScheduler continues it in later turns. A connection ends after eight jobs that cannot be used.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -29,6 +29,7 @@
 from grebestack.program.lifecycle import Lifecycle, Stage
 from grebestack.program.lifecycle_control import LifecycleControl
 from grebestack.program.loop_clock import LoopClock
+from grebestack.program.loop_monitor import LoopMonitor
 from grebestack.program.traffic_log import TrafficLog
 from grebestack.program.worker_sources import WorkerSources
 from grebestack.protocol.discovery import DiscoveryWatcher
@@ -94,6 +95,7 @@
         self.worker_source: Source | None = self.worker_sources.create(config)
         self.reloader = ConfigReloader(self)
         self.lifecycle_control = LifecycleControl(self)
+        self.loop_monitor = LoopMonitor(loop)
         self.traffic_log = TrafficLog(loop, self.engine, self.pools, self.acceptor, self._count_list_requests)
 
     def _build_membership_adapter(self) -> MembershipAdapter | None:
@@ -180,6 +182,7 @@
         await self._start_servers()
         self._wait_for_list(time.monotonic() + _LIST_TIMEOUT_S)
         self.traffic_log.start()
+        self.loop_monitor.start()
         sweep_periodically(self.loop, self.acceptor)
         gc.collect()
         gc.freeze()
@@ -281,6 +284,7 @@
             log.info("not_ready", extra={"kv": kv | {"state": self.lifecycle.stage.value}})
 
     def _close_parts(self) -> None:
+        self.loop_monitor.stop()
         self.listener.close()
         for part in (self.config_updates, self.cluster_member, self.worker_source, self.audit_recorder):
             if part is not None:
--- a/grebestack/program/hot_restart.py
+++ b/grebestack/program/hot_restart.py
@@ -37,6 +37,7 @@
 HANDOVER_TIMEOUT_S = 1.0  # longest wait for the predecessor to stop accepting
 COMMAND_TIMEOUT_S = 0.6  # for a peer; the operator must get a response within a second
 CALLBACK_TIMEOUT_S = 1.0  # for a peer; the worker retries
+MAX_PENDING_QUERIES = 1000  # beyond it a call-back is not offered to a peer; the worker retries
 
 
 class HotRestartRunner:
@@ -323,6 +324,9 @@
                 accepted = self.dispatcher.http_workers.on_callback(body) is CallbackResult.ACCEPTED
             reply(accepted)
 
+        if len(self.callbacks_by_query) >= MAX_PENDING_QUERIES:
+            reply(None)
+            return
         query = self.state_machine.query_callback(body.decode("utf-8", "surrogateescape"), asked_by)
         self._query(query, CALLBACK_TIMEOUT_S, complete)
 
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -206,6 +206,7 @@
     def _answer_malformed(self, connection: Connection, name: str, http_request: HttpRequest) -> None:
         """Answer 400. At most one log line a second: a client that repeats itself must not fill the log."""
         self.engine.counts["malformed"] += 1
+        connection.count_malformed_request()
         if self.engine.clock.now_ms() >= self.next_malformed_log_ms:
             self.next_malformed_log_ms = self.engine.clock.now_ms() + 1000.0
             value = (
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -15,13 +15,19 @@
 
 import httptools
 
+from grebestack.transport.turns import TurnScheduler
+
 log = logging.getLogger(__name__)
 DEFAULT_MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADER_FIELDS = 100
 HEADER_FIELD_OVERHEAD_BYTES = 150  # of memory, beside the name and the value
 DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024
+READ_BUFFER_BYTES = 16 * 1024
+PARSED_AT_ONCE_BYTES = 1024
+MAX_REQUESTS_PER_TURN = 16  # of the event loop, for one connection
 MAX_PIPELINED_REQUESTS = 2  # requests that a client may send before the response to an earlier one
+MAX_MALFORMED_REQUESTS = 8  # of one connection
 REQUEST_TIMEOUT_S = 2.3  # for a complete request, from its first byte or the opening of its connection
 LINGER_TIMEOUT_S = 2.0  # for a client to close its side after the last response
 MAX_DISCARDED_BYTES = 256 * 1024  # from a client that goes on sending after the last response
@@ -89,12 +95,12 @@
         """The client has closed the connection before the response to its request."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One client's connection.
 
     States: awaiting a request (new, or part of a request has arrived), idle (kept open after a response),
     busy (a request awaits its response), closed. Data is read while busy too, since only an end of file shows
-    that the client has closed the connection.
+    that the client has closed the connection. Reading pauses for a turn of the loop after many requests.
     """
 
     def __init__(self, acceptor: Acceptor) -> None:
@@ -113,9 +119,10 @@
         self.queued: deque[HttpRequest] = deque()
         self.refusal_status: int | None = None  # set if the request that is being read is refused
         self.lingering = False  # our side is closed after the last response; what arrives is discarded
-        self.discarded_bytes = 0
+        self.discarded_bytes = self.malformed_requests = 0
         self.completed_requests = 0
         self.incomplete_bytes = 0  # received since the parser last reported a complete part of head or body
+        self.unparsed = b""  # received, and left for a later turn of the event loop
         self.held_bytes = 0  # of memory, by all its requests that are not responded to
         self.current_bytes = 0  # of these, by the request that is handled
         self._reset_request()
@@ -141,19 +148,53 @@
         if self.early_response is not None:
             self.respond(*self.early_response)
 
-    def data_received(self, data: bytes) -> None:
-        if self.closing or self.refusal_status is not None:
-            self._discard(len(data))  # it follows the last request that is accepted
-            return
-        self._parse(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.acceptor.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = self.acceptor.read_buffer[:nbytes]
+        if self.acceptor.turns.may_read():
+            self.data_received(data)
+        else:
+            self._defer(bytes(data))
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parse what has arrived, and handle some requests; the others follow in later turns of the loop."""
+        view, completed = memoryview(data), self.completed_requests
+        for start in range(0, len(view), PARSED_AT_ONCE_BYTES):
+            if self.closing or self.refusal_status is not None:
+                self._discard(len(view) - start)  # it follows the last request that is accepted
+                return
+            if self.completed_requests - completed >= MAX_REQUESTS_PER_TURN:
+                self._defer(bytes(view[start:]))
+                return
+            self._parse(view[start : start + PARSED_AT_ONCE_BYTES])
         self.acceptor.limit_held_bytes(self)
+        if len(view) == READ_BUFFER_BYTES and self.completed_requests > completed:
+            self._defer(b"")  # there may be more
 
     def _discard(self, size: int) -> None:
         self.discarded_bytes += size
         if self.discarded_bytes > MAX_DISCARDED_BYTES and self.lingering and self.transport is not None:
             self.transport.abort()
 
-    def _parse(self, data: bytes) -> None:
+    def _defer(self, unparsed: bytes) -> None:
+        """Read on in a later turn of the event loop, beginning with what is not parsed yet."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.unparsed = unparsed
+        self.transport.pause_reading()
+        self.acceptor.turns.defer(self)
+
+    def continue_reading(self) -> None:
+        """Go on after `_defer`."""
+        data, self.unparsed = self.unparsed, b""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.resume_reading()
+        self.data_received(data)
+
+    def _parse(self, data: memoryview) -> None:
         completed, body_bytes, head_complete = self.completed_requests, self.body_bytes, self.head_complete
         try:
             self.parser.feed_data(data)
@@ -200,6 +241,12 @@
         """Whether a new job can't be taken: there are too many connections, or too much memory is held."""
         return self.over_limit or self.acceptor.is_memory_full
 
+    def count_malformed_request(self) -> None:
+        """Note that the handler can't use the current request; after some of them the connection ends."""
+        self.malformed_requests += 1
+        if self.malformed_requests >= MAX_MALFORMED_REQUESTS:
+            self.closing = True
+
     def disconnect(self) -> None:
         """End the connection of a client that is gone; `on_disconnect` follows."""
         if self.transport is not None:
@@ -211,6 +258,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.closing, self.is_opening = True, False
+        self.unparsed = b""
         self._drop_unhandled()
         self._set_held_bytes(0)
         self.acceptor.on_closed(self)
@@ -381,7 +429,9 @@
         """Whether another process can go on: this one holds nothing, or one complete request."""
         if self.transport is None or self.transport.is_closing() or self.closing or self.request_begun:
             return False
-        return not (self.queued or self.writing_paused or self.transport.get_write_buffer_size())
+        return not (
+            self.queued or self.unparsed or self.writing_paused or self.transport.get_write_buffer_size()
+        )
 
     def detach(self) -> int:
         """Return a new descriptor of the socket; this process's own is closed without the client noticing."""
@@ -435,6 +485,8 @@
         self.drain_scope = DrainScope.NONE
         self.held_bytes = 0  # of memory, by all requests that are not responded to
         self.max_held_bytes = max(DEFAULT_MAX_HELD_BYTES, 2 * max_body_bytes)
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # each read is parsed before the next one
+        self.turns = TurnScheduler()
         self.hand_over_idle: Callable[[Connection, bool], bool] | None = None  # see `hand_over`
 
     def __call__(self) -> Connection:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import re
 import socket
+from collections.abc import Callable
 from pathlib import Path
 from typing import cast
 
 import pytest
 
-from grebestack.transport import server
+from grebestack.transport import server, turns
 from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher
 from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed
 from tests.test_connections import FakeTransport, RecordingHandler, SilentHandler
 
 MEMORY_MB = 192
 FLOOD_CONNECTIONS = 600
+PIPELINED = 2000
+SMALL_REQUEST = b"GET /x HTTP/1.1\r\n\r\n"
+MAX_REQUESTS_AT_ONCE = server.MAX_REQUESTS_PER_TURN + server.PARSED_AT_ONCE_BYTES // len(SMALL_REQUEST) + 1
 BODY = b"x" * 60_000
 
 
@@ -138,3 +143,77 @@
     finally:
         for sock in sockets:
             sock.close()
+
+
+# Turns of the event loop.
+
+
+async def count_most_per_turn(dispatcher: InProcessDispatcher, count: Callable[[], int], total: int) -> int:
+    """The largest increase of a count in one turn of the loop, until it has reached a total."""
+    most = former = 0
+    while former < total:
+        await asyncio.sleep(0)
+        most, former = max(most, count() - former), count()
+    return most
+
+
+def test_one_connection_gets_only_a_share_of_a_turn_of_the_loop(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a client whose small requests keep all others waiting for seconds.
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        answered: list[bytes] = []
+        on_request = dispatcher.api.on_request
+
+        def record(connection: server.Connection, request: server.HttpRequest) -> None:
+            answered.append(request.target)
+            on_request(connection, request)
+
+        monkeypatch.setattr(dispatcher.api, "on_request", record)
+        client = dispatcher.client()
+        client.socket.setblocking(True)
+        client.send(SMALL_REQUEST * PIPELINED)
+        client.socket.setblocking(False)
+        async with asyncio.timeout(20.0):
+            most = await count_most_per_turn(dispatcher, lambda: len(answered), PIPELINED)
+        assert most <= 2 * MAX_REQUESTS_AT_ONCE  # it is read, and continued, once each
+        await dispatcher.wait_until(lambda: client.read_available().count(b"HTTP/1.1 404") == PIPELINED)
+
+    run_with_dispatcher(test)
+
+
+def test_what_many_connections_send_at_once_is_spread_over_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a turn as long as there are connections, and against one that is never continued.
+    monkeypatch.setattr(turns, "READ_BUDGET_S", 0.0)
+    monkeypatch.setattr(turns, "DEFERRED_BUDGET_S", 0.0)
+
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        answered: list[int] = []
+        on_request = dispatcher.api.on_request
+
+        def record(connection: server.Connection, request: server.HttpRequest) -> None:
+            answered.append(1)
+            on_request(connection, request)
+
+        monkeypatch.setattr(dispatcher.api, "on_request", record)
+        clients = [dispatcher.client() for _ in range(20)]
+        await dispatcher.run_loop()
+        for client in clients:
+            client.send(SMALL_REQUEST * 3)
+        async with asyncio.timeout(20.0):
+            most = await count_most_per_turn(dispatcher, lambda: len(answered), 60)
+        assert most <= 3
+        for client in clients:
+            await dispatcher.wait_until(lambda: client.read_available().count(b"HTTP/1.1 404") == 3)  # noqa: B023
+
+    run_with_dispatcher(test)
+
+
+def test_a_connection_that_keeps_sending_malformed_jobs_is_ended() -> None:
+    # Guards against a client that is answered 400 at full speed for as long as it likes.
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        client = dispatcher.client()
+        client.send(b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n" * 100)
+        await dispatcher.wait_until(lambda: client.read_available() and client.close_reason)
+        assert client.received.count(b"HTTP/1.1 400") == server.MAX_MALFORMED_REQUESTS
+        assert dispatcher.engine.counts["malformed"] == server.MAX_MALFORMED_REQUESTS
+
+    run_with_dispatcher(test)
