Send nothing for a client whose end is unread yet, and run no id twice

What callers saw: a job with much behind it was sent though its client had closed the connection; so were a request queued behind a running one, and the last byte of an order, due in the turn in which the client left. An order ran again when its id came again after its client had left, or at the next process of an upgrade. Cause: the end of a connection is read behind all data, and timers come first in a turn; an id was known while its request was open. Ruled out: the order of events in the engine (confirm_send asks for an open request, and it is open). Change: the kernel is asked whether the other side is closed (POLLRDHUP) when a job is opened, before the first byte of each attempt and before a delayed last byte. Ids of ended requests that may have run are kept for 60 s (20,000) and answered 409, but for classes that may run at will; a successor gets them with the open ids, and each as it ends. Golden file: `retired` has the key `ended`.

--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -249,6 +249,9 @@
         self.clock, self.outcome_counts, self.late_count = clock, Counter[str](), 0
         self.arrived_ms: dict[str, float] = {}
 
+    def is_client_gone(self) -> bool:
+        return False
+
     def before_send(self, attempt: Attempt) -> bool:
         """Allow every attempt."""
         return True
--- a/benchmarks/waiting.py
+++ b/benchmarks/waiting.py
@@ -86,6 +86,9 @@
         self.arrived_ms: dict[int, float] = {}
         self.run_ms: dict[int, float] = {}
 
+    def is_client_gone(self) -> bool:
+        return False
+
     def before_send(self, attempt: Attempt) -> bool:
         """Allow every attempt."""
         return True
--- a/grebestack/hot_restart/messages.py
+++ b/grebestack/hot_restart/messages.py
@@ -51,9 +51,13 @@
     return {TYPE_KEY: MessageType.READY}
 
 
-def handed_over(open_call_ids: list[str], attempts: list[Message]) -> Message:
-    """Announce that no more clients are accepted, with the requests and attempts still open here."""
-    return {TYPE_KEY: MessageType.HANDED_OVER, "open": open_call_ids, "out": attempts}
+def handed_over(open_call_ids: list[str], attempts: list[Message], ended_call_ids: list[str]) -> Message:
+    """Announce that no more clients are accepted, with the requests and attempts still open here.
+
+    `ended_call_ids` are those of requests that have ended and must not run again.
+    """
+    message = {TYPE_KEY: MessageType.HANDED_OVER, "open": open_call_ids, "out": attempts}
+    return message | {"ended": ended_call_ids} if ended_call_ids else message
 
 
 def attempt_sent(attempt: Message) -> Message:
--- a/grebestack/hot_restart/state_machine.py
+++ b/grebestack/hot_restart/state_machine.py
@@ -108,12 +108,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReportClosed:
-    """Tell the successor, if there is one, that the predecessor has answered a request."""
+class NoteClosed:
+    """The predecessor has answered a request: it must not run again, and the successor is told so."""
 
     call_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class NoteEnded:
+    """The predecessor has answered these requests before: they must not run again."""
+
+    call_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CountAttempt:
     """Count an attempt that the predecessor has sent or ended; None: it is gone, end all of them."""
@@ -132,7 +139,8 @@
     | RunCommand
     | DeliverCallback
     | CompleteQuery
-    | ReportClosed
+    | NoteClosed
+    | NoteEnded
     | CountAttempt
 )
 
@@ -292,8 +300,9 @@
         open_ids = message["open"][:MAX_PREDECESSOR_OPEN_IDS]
         self.predecessor_open_ids = {str(call_id) for call_id in open_ids}
         self.holds_rendezvous = True
+        ended = NoteEnded(tuple(str(call_id) for call_id in message.get("ended", ())))
         counts = [CountAttempt(attempt) for attempt in messages.attempts_sent(message)]
-        return [HoldRendezvous(True), *counts, *self._accept_clients()]
+        return [HoldRendezvous(True), ended, *counts, *self._accept_clients()]
 
     def _on_attempt(self, peer: int, message: Message) -> list[Action]:
         return [CountAttempt(message)] if peer == self.predecessor else []
@@ -303,7 +312,7 @@
         if peer != self.predecessor or message.get("moved") or call_id not in self.predecessor_open_ids:
             return []  # one that has moved is open until it is adopted, and then here
         self.predecessor_open_ids.discard(call_id)
-        return [ReportClosed(call_id)]
+        return [NoteClosed(call_id)]
 
     def _on_run_command(self, peer: int, message: Message) -> list[Action]:
         return [RunCommand(peer, int(message["n"]), str(message["verb"]), str(message["server"]))]
@@ -351,7 +360,7 @@
 
     def _lose_predecessor(self) -> list[Action]:
         self.predecessor = None
-        closed = [ReportClosed(call_id) for call_id in sorted(self.predecessor_open_ids)]
+        closed = [NoteClosed(call_id) for call_id in sorted(self.predecessor_open_ids)]
         self.predecessor_open_ids.clear()
         return [CountAttempt(None), *closed, *self._hold_rendezvous(), *self._accept_clients()]
 
--- a/grebestack/jobs/released_job.py
+++ b/grebestack/jobs/released_job.py
@@ -36,6 +36,10 @@
         """Whether some attempt, including those before a restart, is not proven never to have run."""
         return request.may_have_run or self.retry_limit is not None
 
+    def is_client_gone(self) -> bool:
+        """Return False: a stored job does not depend on its client's connection."""
+        return False
+
     def before_send(self, attempt: Attempt) -> bool:
         """Record an attempt; False, so that it is not sent, if that fails or the retry limit is reached."""
         limit = self.retry_limit
--- a/grebestack/program/hot_restart.py
+++ b/grebestack/program/hot_restart.py
@@ -74,7 +74,8 @@
             state_machine.RunCommand: self._run_command,
             state_machine.DeliverCallback: self._deliver_callback,
             state_machine.CompleteQuery: self._complete_query,
-            state_machine.ReportClosed: self._report_closed,
+            state_machine.NoteClosed: self._note_closed,
+            state_machine.NoteEnded: self._note_ended,
             state_machine.CountAttempt: self._count_attempt,
         }
 
@@ -268,9 +269,13 @@
         if on_complete is not None:
             on_complete(action.result)
 
-    def _report_closed(self, action: state_machine.ReportClosed) -> None:
+    def _note_closed(self, action: state_machine.NoteClosed) -> None:
+        self.dispatcher.platform_api.ended_ids.add(action.call_id)
         self.handover.on_request_closed(action.call_id)
 
+    def _note_ended(self, action: state_machine.NoteEnded) -> None:
+        self.dispatcher.platform_api.ended_ids.update(action.call_ids)
+
     def _on_attempt_adopted(self, key: str) -> None:
         self.predecessor_attempts.end(key, self.dispatcher.clock.now_ms())
 
--- a/grebestack/program/hot_restart_handover.py
+++ b/grebestack/program/hot_restart_handover.py
@@ -22,7 +22,7 @@
 CONNECTION_RETRY_S = 0.005  # before a connection with an unsent response is tried again
 MAX_HANDOVERS_PER_TURN = 16  # of the event loop, which also serves clients
 MAX_LISTED = 20_000  # call ids, and attempts, that are sent to a successor
-MAX_LISTED_BYTES = 3 * 1024 * 1024  # of call ids: JSON may double them, and a message is refused over 8 MiB
+MAX_LISTED_BYTES = 3 * 512 * 1024  # of call ids, in each of two lists: JSON may double them, 8 MiB is refused
 
 
 class Handover:
@@ -95,7 +95,8 @@
             for attempt in request.open_attempts()
         ][-MAX_LISTED:]
         open_call_ids = newest_call_ids([*self.state_machine.predecessor_open_ids, *engine.open_by_call_id])
-        self.channels.send(successor, messages.handed_over(open_call_ids, attempts))
+        ended_call_ids = newest_call_ids(self.dispatcher.platform_api.ended_ids.newest(MAX_LISTED))
+        self.channels.send(successor, messages.handed_over(open_call_ids, attempts, ended_call_ids))
         keys = (attempt["key"] for attempt in attempts)
         reports = self.reports = SuccessorReports(self.channels, successor, open_call_ids, keys)
 
--- a/grebestack/program/metrics_exporter.py
+++ b/grebestack/program/metrics_exporter.py
@@ -52,6 +52,9 @@
         )
         return head.encode() + body
 
+    def before_last_byte(self) -> None:
+        """Do nothing: the last byte is not delayed."""
+
     def on_last_byte(self) -> None:
         """Do nothing: the response decides the outcome."""
 
--- a/grebestack/protocol/http_workers.py
+++ b/grebestack/protocol/http_workers.py
@@ -118,6 +118,9 @@
             payload.body,
         )
 
+    def before_last_byte(self) -> None:
+        self.workers.engine.close_if_client_is_gone(self.attempt.request)
+
     def on_last_byte(self) -> None:
         self.attempt.stage = AttemptStage.WRITTEN
 
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from grebestack.core.api import Settings
+from grebestack.core.api import Effect, Settings
 from grebestack.protocol.http_workers import CallbackResult
 from grebestack.protocol.job_request import JobRequest, JobRequestParser, MalformedFieldError
+from grebestack.protocol.recent_call_ids import RecentCallIds
 from grebestack.routing.engine import Engine
 from grebestack.routing.requests import NO_HISTORY, Attempt, InFlightAttempt, Request, RequestHistory
 from grebestack.transport.server import Connection, HttpRequest
@@ -49,6 +50,7 @@
         # During a hot restart: offers a call-back to the other process, and whether a call id is open there.
         self.query_other_process: Callable[[bytes, Callable[[bool | None], None]], None] | None = None
         self.is_open_elsewhere: Callable[[str], bool] = lambda call_id: False
+        self.ended_ids = RecentCallIds(engine.clock)
         self.next_malformed_log_ms = 0.0
         self.ready = False
         self.stopping = False  # a planned stop has begun: no new connections will reach this dispatcher
@@ -119,6 +121,13 @@
         if connection.handler_data is not None:
             request, connection.handler_data = connection.handler_data, None
             self.engine.on_client_disconnected(request)
+            self.on_ended(request)
+
+    def on_ended(self, request: Request) -> None:
+        """Remember the call id of a request that must not run again."""
+        job_class = self.engine.settings.classes[request.arrival.job_class]
+        if job_class.effect is not Effect.IDEMPOTENT and request.may_have_run:
+            self.ended_ids.add(request.call_id)
 
     def _handle_job(self, connection: Connection, http_request: HttpRequest) -> None:
         if http_request.method != b"POST":
@@ -129,6 +138,10 @@
         except MalformedFieldError as error:
             self._answer_malformed(connection, error.name, http_request)
             return
+        if connection.has_peer_closed():
+            self.engine.counts["gone"] += 1
+            connection.disconnect()
+            return
         if connection.is_overloaded or self.rejecting:
             self.reject(connection, self.max_retry_after_ms)
             return
@@ -137,7 +150,7 @@
         if self.stopping and self._has_few_free_connections(connection):
             self.reject(connection, None if self.max_retry_after_ms is None else STOPPING_RETRY_AFTER_MS)
             return
-        if self.is_open_elsewhere(job.call_id):
+        if job.call_id in self.ended_ids or self.is_open_elsewhere(job.call_id):
             connection.respond(409)
             return
         request = self._open(connection, http_request, job, self._deadline_ms(job.limit_ms))
@@ -231,6 +244,10 @@
     def __init__(self, api: PlatformApi, connection: Connection, http_request: HttpRequest) -> None:
         self.api, self.connection, self.http_request = api, connection, http_request
 
+    def is_client_gone(self) -> bool:
+        """Whether the client has closed its side of the connection."""
+        return self.connection.has_peer_closed()
+
     def before_send(self, attempt: Attempt) -> bool:
         """Allow it: these jobs are not recorded."""
         return True
@@ -241,6 +258,7 @@
     def on_served(self, request: Request, result: bytes) -> None:
         """A worker has done the job."""
         self.connection.handler_data = None
+        self.api.on_ended(request)
         self.connection.respond(200, result)
 
     def on_rejected(self, request: Request, retry_after_ms: float | None) -> None:
@@ -251,6 +269,7 @@
     def on_failed(self, request: Request) -> None:
         """The request failed; the job may have been executed."""
         self.connection.handler_data = None
+        self.api.on_ended(request)
         self.connection.respond(502)
 
     def on_cancelled(self, request: Request) -> None:
--- a/grebestack/routing/engine.py
+++ b/grebestack/routing/engine.py
@@ -140,6 +140,11 @@
             self.counts["gone"] += 1
             self._drop(request)
 
+    def close_if_client_is_gone(self, request: Request) -> None:
+        """Close a request whose client has left, though this process may not have read that yet."""
+        if not request.closed and request.listener.is_client_gone():
+            self.on_client_disconnected(request)
+
     def _drop(self, request: Request) -> None:
         """Let the decision module cancel the attempts of a closed request, and abandon the unsent ones."""
         self._process(api.RequestDropped(request.number))
@@ -245,6 +250,7 @@
         While the connection was being established its worker may have been drained, the client may have
         disconnected, or the time limit of a retry may have passed.
         """
+        self.close_if_client_is_gone(attempt.request)
         allowed = (
             attempt.outcome is None
             and not attempt.request.closed
--- a/grebestack/routing/interfaces.py
+++ b/grebestack/routing/interfaces.py
@@ -38,6 +38,9 @@
     client has disconnected before.
     """
 
+    def is_client_gone(self) -> bool:
+        """Whether the client has left, though the engine may not have been told yet."""
+
     def before_send(self, attempt: Attempt) -> bool:
         """The first byte of an attempt is about to be sent; False prevents it."""
 
--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -46,6 +46,10 @@
     def on_connection_ready(self) -> bytes | None:
         """Return the request for a connection that is open, or None if it must not be sent any more."""
 
+    def before_last_byte(self) -> None:
+        """The delayed last byte is due; an exchange that must not end any more aborts itself."""
+        return
+
     def on_last_byte(self) -> None:
         """The last byte of the request is about to be written; most exchanges ignore this."""
         return
@@ -110,6 +114,8 @@
         self.transport.write(data)
 
     def _write_last_byte(self) -> None:
+        if self.exchange is not None:
+            self.exchange.before_last_byte()
         delayed_byte, self.delayed_byte = self.delayed_byte, b""
         if self.exchange is not None and self.transport is not None:
             self.exchange.on_last_byte()
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import os
+import select
 import time
 from collections import OrderedDict, deque
 from collections.abc import Callable
@@ -241,6 +242,14 @@
         """Whether a new job can't be taken: there are too many connections, or too much memory is held."""
         return self.over_limit or self.acceptor.is_memory_full
 
+    def has_peer_closed(self) -> bool:
+        """Whether the client has closed its side, also if that is not read yet behind other data."""
+        if self.transport is None or (sock := self.transport.get_extra_info("socket")) is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def count_malformed_request(self) -> None:
         """Note that the handler can't use the current request; after some of them the connection ends."""
         self.malformed_requests += 1
--- a/tests/golden_handover.py
+++ b/tests/golden_handover.py
@@ -109,6 +109,7 @@
     dispatcher.http_workers.hand_over.return_value = InFlightAttempt(
         "runner-1", "runner-1", WORKER.address, 4000.25
     )
+    dispatcher.platform_api.ended_ids.newest.return_value = ["job-0"]
     engine = dispatcher.engine
     engine.policy, engine.settings = policy_with_state(), BASE
     engine.requests, engine.open_by_call_id = {41: request}, {"job-1": request}
--- a/tests/test_callback_attempts.py
+++ b/tests/test_callback_attempts.py
@@ -72,6 +72,9 @@
     def __init__(self) -> None:
         self.answers: list[str] = []
 
+    def is_client_gone(self) -> bool:
+        return False
+
     def before_send(self, attempt: Attempt) -> bool:
         return True
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -40,6 +40,9 @@
     def is_closing(self) -> bool:
         return self.closed
 
+    def get_extra_info(self, name: str) -> None:
+        """Return None: there is no socket."""
+
     def close(self) -> None:
         self.closed = True
 
@@ -199,6 +202,9 @@
         self.begun += 1
         return b"POST / HTTP/1.1\r\n\r\n"
 
+    def before_last_byte(self) -> None:
+        pass
+
     def on_last_byte(self) -> None:
         assert self.begun and not self.last_bytes and not self.ends
         self.last_bytes += 1
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -59,6 +59,9 @@
     def __init__(self, model: Model) -> None:
         self.model, self.answers, self.disconnected = model, list[str](), False
 
+    def is_client_gone(self) -> bool:
+        return False
+
     def before_send(self, attempt: Attempt) -> bool:
         return True
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -6,12 +6,14 @@
 import contextlib
 import re
 import socket
+import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import cast
+from typing import Any, cast
 
 import pytest
 
+from grebestack.protocol import recent_call_ids
 from grebestack.transport import server, turns
 from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher
 from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed
@@ -217,3 +219,95 @@
         assert dispatcher.engine.counts["malformed"] == server.MAX_MALFORMED_REQUESTS
 
     run_with_dispatcher(test)
+
+
+# Clients that have left, and ids that come again.
+
+
+def test_a_request_of_a_client_that_has_left_before_it_is_read_is_not_sent() -> None:
+    # Guards against sending what lies before an end of file that is unread yet, behind other data.
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        client = dispatcher.client()
+        await dispatcher.run_loop()
+        client.send_job("a")
+        client.send(b"GET /x HTTP/1.1\r\n\r\n" * 3000)
+        client.close()
+        await dispatcher.wait_until(lambda: not dispatcher.acceptor.connections)
+        await dispatcher.run_loop()
+        assert not dispatcher.peers[0].complete_requests() and dispatcher.engine.counts["dispatches"] == 0
+
+    run_with_dispatcher(test)
+
+
+def test_a_request_queued_behind_another_is_not_sent_once_its_client_has_left() -> None:
+    # Guards against the first answer letting the next request pass in the turn in which the client leaves.
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        client, peer = dispatcher.client(), dispatcher.peers[0]
+        client.send_job("a")
+        client.send_job("b")
+        await dispatcher.wait_until(lambda: peer.complete_requests())
+        peer.send(0, b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+        await dispatcher.run_loop()
+        client.close()
+        dispatcher.call_back("a", "s0", result="it")
+        await dispatcher.wait_until(lambda: not dispatcher.acceptor.connections)
+        await dispatcher.run_loop()
+        assert not any(b"X-Call-Id: b" in data for data in peer.complete_requests())
+
+    run_with_dispatcher(test)
+
+
+def test_the_delayed_last_byte_is_not_sent_while_the_end_of_the_client_is_unread() -> None:
+    # Guards against a timer that is due in the same turn as the end of file, and comes first.
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        client, peer = dispatcher.client(), dispatcher.peers[0]
+        client.send_job("a", "order")
+        await dispatcher.wait_until(lambda: peer.complete_requests())
+        client.close()
+        time.sleep(0.1)  # longer than the last byte is delayed
+        await dispatcher.wait_until(lambda: not dispatcher.acceptor.connections)
+        await dispatcher.run_loop()
+        assert not any(data.endswith(b"body") for data in peer.complete_requests())
+
+    run_with_dispatcher(test)
+
+
+@pytest.mark.parametrize("job_class", ["order", "book"])
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_an_id_that_may_have_run_is_not_run_again(job_class: str, is_answered: bool) -> None:
+    # Guards against an order that runs twice because its id comes again after its client has left.
+    async def test(dispatcher: InProcessDispatcher) -> None:
+        first, second, peer = dispatcher.client(), dispatcher.client(), dispatcher.peers[0]
+        first.send_job("a", job_class)
+        await dispatcher.wait_until(lambda: any(data.endswith(b"body") for data in peer.complete_requests()))
+        peer.send(0, b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+        await dispatcher.run_loop()
+        if is_answered:
+            dispatcher.call_back("a", "s0", result="it")
+            await dispatcher.wait_until(lambda: first.status)
+        first.close()
+        await dispatcher.wait_until(lambda: not dispatcher.engine.open_by_call_id)
+        second.send_job("a", job_class)
+        await dispatcher.wait_until(lambda: second.status)
+        assert second.status == 409 and dispatcher.engine.counts["dispatches"] == 1
+
+    run_with_dispatcher(test)
+
+
+def test_recent_call_ids_are_forgotten_in_time_and_limited_in_number(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(recent_call_ids, "MAX_KEPT", 3)
+    now_ms = 0.0
+
+    class Clock:
+        def now_ms(self) -> float:
+            return now_ms
+
+        def call_at(self, at_ms: float, call: Callable[[], None]) -> None:
+            raise NotImplementedError
+
+    ids = recent_call_ids.RecentCallIds(cast(Any, Clock()))
+    ids.update(["a", "b", "c", "d"])
+    assert "a" not in ids and [name in ids for name in "bcd"] == [True] * 3 and ids.newest(2) == ["c", "d"]
+    now_ms = recent_call_ids.KEPT_MS
+    ids.add("e")
+    assert ids.newest(9) == ["e"]
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -505,6 +505,29 @@
     assert pending()[::2] == (200, b"it")
 
 
+def test_an_id_that_has_run_in_a_process_before_is_not_run_again(testbed: DispatcherTestbed) -> None:
+    # Guards against an order that runs twice because its id comes again at the other process of a restart.
+    worker = testbed.add_worker("s-1")
+    admin = testbed.start_on_shared_socket()
+    wait_until(lambda: reports_ready(admin))
+
+    def order(call_id: str) -> int:
+        return send_request(testbed.client_address, "POST", "/api", b"", request_headers(call_id))[0]
+
+    assert order("before") == 200
+    worker.job_seconds = 60.0
+    pending = testbed.in_background(lambda: order("across"))
+    wait_until(lambda: len(worker.jobs) == 2)
+    restart(testbed)
+    assert worker.call_back("across", state="done", result="it") == 204
+    assert pending() == 200
+    restart(testbed)
+    stop(testbed.processes[0])
+    stop(testbed.processes[1])
+    assert [order("before"), order("across")] == [409, 409]
+    assert len(worker.jobs) == 2
+
+
 def test_a_client_that_leaves_after_its_request_was_handed_over_has_its_job_cancelled(
     testbed: DispatcherTestbed,
 ) -> None:
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -50,6 +50,7 @@
     "protocol.platform",
     "protocol.http_workers",
     "protocol.job_request",
+    "protocol.recent_call_ids",
     "protocol.settings",
     "routing",
     "routing.engine",
