Confirm a late answer of discovery by another call before it is the only watch

Cause, suspected and not proved: the first line of any request closes all others, so that a request of an outage that brings one line and then nothing leaves the dispatcher without news for 2.6 s. Ruled out by the records: a loop that stood still (counts each second), calls that were not made (12 a second until the answer). Change: where lists are pushed, a first line later than the time between two requests is followed by one more request; what speaks next is read. An older list of a watch beside another is not applied. event=watch_answered tells call, wait and version. Result: test_a_late_answer_of_an_outage_may_be_the_last_one_of_its_watch fails on the code before (old state machine under the new model) and passes.

--- a/grebestack/endpoint_watch/state_machine.py
+++ b/grebestack/endpoint_watch/state_machine.py
@@ -112,7 +112,15 @@
     stage: Stage
 
 
-Action = OpenWatch | CloseWatch | SetTimer | StageChanged
+@dataclass(frozen=True, slots=True)
+class WatchAnswered:
+    """The first line has arrived on a watch, which is read from now on."""
+
+    number: int
+    waited_ms: float  # since it was opened
+
+
+Action = OpenWatch | CloseWatch | SetTimer | StageChanged | WatchAnswered
 
 
 @dataclass(slots=True, eq=False)
@@ -141,6 +149,7 @@
     pending: list[WatchRequest] = field(default_factory=list)  # no line yet, the oldest first
     next_open_ms: float | None = None
     failures: int = 0  # watches in a row that ended without a line
+    confirms_late_answer: bool = False  # the watches opened last stand beside one that was answered late
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Handle an event; return the actions to execute, in order."""
@@ -176,19 +185,31 @@
         request = self._find(number)
         if request is None:
             return []
-        actions = [] if request is self.current else self._make_current(request)
+        is_new, waited_ms = request is not self.current, now_ms - request.active_ms
+        actions = self._make_current(request, waited_ms) if is_new else []
         request.active_ms = now_ms
         self.failures = 0
         if self.stage is Stage.MOVING:
             return actions
         self.next_open_ms = None
-        return [*actions, *self._change_stage(Stage.OPEN)]
+        actions += self._change_stage(Stage.OPEN)
+        needs_confirmation = is_new and self._is_late(waited_ms) and not self.confirms_late_answer
+        self.confirms_late_answer = needs_confirmation
+        return [*actions, *self._open_watch(now_ms)] if needs_confirmation else actions
 
-    def _make_current(self, request: WatchRequest) -> list[Action]:
+    def _make_current(self, request: WatchRequest, waited_ms: float) -> list[Action]:
         # Only the first one with a line is read: of two, an older list could arrive after a newer one.
         others = [one for one in (*self.pending, self.silent, self.current) if one is not request]
         self.current, self.silent, self.pending = request, None, []
-        return _close(others)
+        return [*_close(others), WatchAnswered(request.number, waited_ms)]
+
+    def _is_late(self, waited_ms: float) -> bool:
+        """Whether a first line does not show that its watch works: an agent that works answers at once.
+
+        The line may be all that a watch of an outage still brings. Another one is opened beside it, until
+        either of them speaks.
+        """
+        return self.settings.pushed and waited_ms > self.settings.push_retry_ms
 
     def _on_malformed_event(self, now_ms: float, number: int) -> list[Action]:
         if self._find(number) is None:
@@ -251,7 +272,7 @@
         while self.pending and now_ms >= self.pending[0].overdue_at_ms:
             request = self.pending.pop(0)
             closed.append(request)
-            if self.next_open_ms is None:
+            if self.next_open_ms is None and self.current is None:
                 self.next_open_ms = now_ms + self._retry_delay_ms(now_ms, request.active_ms)
                 self.failures += 1
         return _close(closed)
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -152,9 +152,14 @@
     def _on_list(
         self, connection: WatchConnection, version: int, is_complete: bool, workers: list[WorkerEndpoint]
     ) -> None:
-        if not is_complete and version < self.version:
-            self.reader.warn_unexpected("rev", version, self.version)
+        current = self.state_machine.current
+        is_beside_another = current is not None and current.number != connection.number
         self._handle(state_machine.EventReceived(connection.number))
+        if version < self.version:
+            if is_beside_another:  # its line was written before one of the other watch, and read after it
+                return
+            if not is_complete:
+                self.reader.warn_unexpected("rev", version, self.version)
         self.version = version
         if self.cached_workers and not is_complete:
             self.use_cached_list()  # the changes refer to this list
@@ -180,6 +185,9 @@
                     self._set_timer(at_ms)
                 case state_machine.StageChanged(stage):
                     self._on_stage_changed(stage)
+                case state_machine.WatchAnswered(number, waited_ms):
+                    fields = {"call": number, "waited_ms": round(waited_ms, 1), "rev": self.version}
+                    log.info("watch_answered", extra={"kv": fields})
 
     def _set_timer(self, at_ms: float) -> None:
         if self.timer is not None:
--- a/tests/endpoint_watch_model.py
+++ b/tests/endpoint_watch_model.py
@@ -32,6 +32,7 @@
 
     sent_version: int = -1  # the last one
     silenced: bool = False  # sends nothing any more
+    answers_once: bool = False  # sends one line, and nothing after it
     heartbeat_number: int = 0
 
 
@@ -43,6 +44,7 @@
     seed: int
     faults: Sequence[Fault]
     watches_continue: bool = True  # whether watches that are open in an outage continue after it
+    answers_once: bool = False  # whether those that are opened in an outage get a single line after it
     now: float = 0.0
     version: int = 0
     published: list[tuple[float, int]] = field(default_factory=lambda: [(0.0, 0)])  # versions of the agent
@@ -93,7 +95,8 @@
             return
         stream = self.streams[number] = Stream()
         if self.now < self.silent_until:
-            stream.silenced = not self.watches_continue
+            stream.silenced = not self.watches_continue and not self.answers_once
+            stream.answers_once = self.answers_once
         else:
             self.send_list(number, stream)
         self.schedule_heartbeat(number, stream)
@@ -117,6 +120,7 @@
             stream.sent_version = version = self.version
             self.call_at(self.now + LINK_DELAY_MS, lambda: self.receive(number, stream, version))
             self.schedule_heartbeat(number, stream)
+            stream.silenced = stream.answers_once
 
     def receive(self, number: int, stream: Stream, version: int) -> None:
         if self.streams.get(number) is not stream:
@@ -187,8 +191,9 @@
     watches_continue: bool,
     until_ms: float = 40_000.0,
     watch_class: type[EndpointWatch] = EndpointWatch,
+    answers_once: bool = False,
 ) -> Simulation:
     """Run one simulation to its end."""
-    simulation = Simulation(settings, seed, faults, watches_continue)
+    simulation = Simulation(settings, seed, faults, watches_continue, answers_once)
     simulation.run(until_ms, watch_class(settings, random.Random(seed).random))
     return simulation
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -133,6 +133,26 @@
         assert len(simulation.opened) <= 4
 
 
+def test_a_late_answer_of_an_outage_may_be_the_last_one_of_its_watch() -> None:
+    # Guards against closing all other requests with a first line after which its watch brings nothing.
+    for delay_ms in range(0, 2500, 100):
+        faults = [(2000.0, "outage", 7000.0), (9000.0 + delay_ms, "change", 0.0)]
+        simulation = simulate(PUSHED, 1, faults, False, answers_once=True)
+        assert not simulation.late_changes(40_000.0), delay_ms
+
+
+def test_a_late_answer_is_confirmed_by_one_request_even_if_all_are_answered_late() -> None:
+    # Guards against a slow agent that is asked again and again.
+    watch, now, opened = EndpointWatch(PUSHED, lambda: 0.5), 0.0, 0
+    watch.handle(0.0, Started())
+    for _ in range(20):
+        now += PUSHED.push_retry_ms + 10.0
+        number = watch.pending[0].number if watch.pending else watch.last_number
+        actions = watch.handle(now, EventReceived(number))
+        opened += sum(isinstance(action, OpenWatch) for action in actions)
+    assert opened == 1 and watch.stage is Stage.OPEN and not watch.pending
+
+
 def test_the_checker_finds_a_late_list() -> None:
     simulation = Simulation(PUSHED, 0, [])
     simulation.published, simulation.delivered = (
--- a/tests/test_hard_peers.py
+++ b/tests/test_hard_peers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
+from grebestack.core.api import ListKind
+from grebestack.endpoint_watch.state_machine import WatchRequest
 from grebestack.protocol import discovery, worker_list
 from grebestack.transport import client, server
 from tests.test_connections import FakeTransport, RecordingHandler
@@ -104,6 +107,31 @@
     assert watch.state_machine.current is not None and watch.version == 1
 
 
+def test_an_older_list_of_a_watch_beside_another_changes_nothing() -> None:
+    # Guards against a list that was written before one of the other watch, and is read after it.
+    loop = SimpleNamespace(
+        call_later=lambda seconds, call: SimpleNamespace(cancel=lambda: None),
+        create_task=lambda task: task.close(),
+    )
+    updates: list[ListKind] = []
+    table = cast(
+        Any, SimpleNamespace(on_unchanged=lambda: None, update=lambda kind, workers: updates.append(kind))
+    )
+    watch = discovery.DiscoveryWatcher(
+        cast(asyncio.AbstractEventLoop, loop), ("h", 1), worker_list.WorkerListReader({}), table
+    )
+    watch.start()
+    watch._open(2)
+    watch.state_machine.current = WatchRequest(1, time.monotonic() * 1000.0)
+    watch.state_machine.pending = [WatchRequest(2, time.monotonic() * 1000.0)]
+    list_line = b'{"rev":%d,"all":true,"targets":[]}'
+    watch.on_line(watch.connections[1], list_line % 8)
+    watch.on_line(watch.connections[2], list_line % 7)
+    assert watch.version == 8 and updates == [ListKind.FULL]
+    watch.on_line(watch.connections[2], list_line % 9)
+    assert watch.version == 9 and len(updates) == 2 and list(watch.connections) == [2]
+
+
 def test_a_client_that_disconnects_while_its_response_is_written_is_forgotten() -> None:
     handler = RecordingHandler()
     acceptor = server.Acceptor(handler, max_connections=8)
