Close the streams of the stand-ins, and fail a test that leaves some open

Change: tests/loop_thread.py, a loop in a thread that closes what it has opened, for both; an autouse fixture fails a test with open streams.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -19,13 +19,14 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from grebestack.consensus.lease import Fence
 from tests.cluster_member import TASKS
+from tests.loop_thread import LoopThread
 from tests.ports import reserved_port
 from tests.standins import OPERATOR_SETTINGS, StandIn, send_admin_command
 
@@ -98,13 +99,9 @@
     """Forwards the links between members, each through its own listener; faults apply to one direction."""
 
     def __init__(self) -> None:
-        self.loop = asyncio.new_event_loop()
+        self.loop_thread = LoopThread()
         self.directions: dict[tuple[str, str], LinkDirection] = {}
         self.writers: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}
-        threading.Thread(target=self.loop.run_forever, daemon=True).start()
-
-    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
-        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(20)
 
     def link(self, a: str, b: str, port: int) -> int:
         """Listen for connections from a to b; return the port."""
@@ -116,20 +113,22 @@
 
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             try:
-                far_reader, far_writer = await asyncio.open_connection("127.0.0.1", port)
+                far_reader, far_writer = await self.loop_thread.connect("127.0.0.1", port)
             except OSError:
                 writer.transport.abort()
                 return
             self.writers[a, b] |= {writer, far_writer}
             both = (self._pump(reader, far_writer, (a, b)), self._pump(far_reader, writer, (b, a)))
-            with contextlib.suppress(OSError):
-                await asyncio.gather(*both)
-            for end in (writer, far_writer):
-                end.transport.abort()
-                self.writers[a, b].discard(end)
+            try:
+                with contextlib.suppress(OSError):
+                    await asyncio.gather(*both)
+            finally:
+                for end in (writer, far_writer):
+                    end.transport.abort()
+                    self.writers[a, b].discard(end)
+                self.loop_thread.disconnect(far_writer)
 
-        server = self.run(asyncio.start_server(accept, "127.0.0.1", 0))
-        return int(server.sockets[0].getsockname()[1])
+        return self.loop_thread.serve(accept)
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, key: Any) -> None:
         while data := await reader.read(65536):
@@ -155,15 +154,7 @@
 
     def close(self) -> None:
         """Close all links."""
-
-        async def end() -> None:
-            tasks = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-        self.run(end())
-        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.loop_thread.close()
 
     def reset(self, a: str, b: str) -> None:
         """Reset the connections of a link."""
@@ -173,7 +164,7 @@
             for writer in list(self.writers[key]):
                 writer.transport.abort()
 
-        self.loop.call_soon_threadsafe(abort)
+        self.loop_thread.loop.call_soon_threadsafe(abort)
 
 
 @dataclass
--- a/tests/dispatcher_group.py
+++ b/tests/dispatcher_group.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -22,6 +23,7 @@
 from pathlib import Path
 from typing import Any
 
+from tests.loop_thread import LoopThread
 from tests.ports import reserved_port
 from tests.standins import SETTINGS, wait_until
 
@@ -68,9 +70,8 @@
 
     def __init__(self, folder: Path, dispatchers: int, workers: int, workers_per_port: int = 1) -> None:
         self.folder, self.names = folder, [f"n{n}" for n in range(dispatchers)]
-        self.loop = asyncio.new_event_loop()
-        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
-        self.thread.start()
+        self.loop_thread = LoopThread()
+        self.loop = self.loop_thread.loop
         self.settings: dict[str, Any] = SETTINGS | {"discovery": "pushed", "siblings": 200}
         self.tasks: set[asyncio.Task[None]] = set()
         self.sends: list[Sent] = []
@@ -89,14 +90,14 @@
         self.max_delay_s = 0.0
         for port in ports:
             uids = [uid for uid, at in self.workers.items() if at == port]
-            self.run_coroutine(asyncio.start_server(self._serve_jobs(uids), "127.0.0.1", port))
+            self.loop_thread.serve(self._serve_jobs(uids), port)
         for name in self.names:
             self.add_agent(name, keeps_watches=True)
         threading.Thread(target=self._measure_delay, daemon=True).start()
         self.clients = 0
 
     def run_coroutine(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
-        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
+        return self.loop_thread.run(coroutine)
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = self.loop.create_task(coroutine)
@@ -125,14 +126,12 @@
         if previous is not None:
             agent.version = previous.version
         self.ports[name] = reserved_port()
-        self.run_coroutine(asyncio.start_server(self._serve_watches(agent), "127.0.0.1", self.ports[name]))
+        self.loop_thread.serve(self._serve_watches(agent), self.ports[name])
 
     def _serve_watches(self, agent: Agent) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 await watch(reader, writer)
-            except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-                writer.close()
 
         async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             head = await reader.readuntil(b"\r\n\r\n")
@@ -270,8 +269,8 @@
                     writer.write(b"HTTP/1.1 202 Taken\r\nContent-Length: 0\r\n\r\n")
                     for uid in uids:  # call-backs of the wrong workers are ignored
                         self.spawn(self._call_back(uid, call_id))
-            except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-                writer.close()
+            except (OSError, asyncio.IncompleteReadError):
+                pass  # the dispatcher was killed
 
         return serve
 
@@ -283,13 +282,13 @@
 
     async def _post(self, name: str, request: bytes) -> None:
         """Send a request to a dispatcher on a new connection."""
-        try:
-            reader, writer = await asyncio.open_connection(*self.addresses[name])
-            writer.write(request)
-            await reader.read()
-            writer.close()
-        except (OSError, asyncio.CancelledError):
-            pass  # it was killed
+        with contextlib.suppress(OSError):  # it was killed
+            reader, writer = await self.loop_thread.connect(*self.addresses[name])
+            try:
+                writer.write(request)
+                await reader.read()
+            finally:
+                self.loop_thread.disconnect(writer)
 
     # Dispatchers and their clients.
 
@@ -365,14 +364,7 @@
             process.kill()
             process.wait()
 
-        async def end() -> None:
-            for task in asyncio.all_tasks() - {asyncio.current_task()}:
-                task.cancel()
-            await asyncio.sleep(0.3)
-
-        self.run_coroutine(end())
-        self.loop.call_soon_threadsafe(self.loop.stop)
-        self.thread.join(5)
+        self.loop_thread.close()
 
 
 def run_fault_scenario(folder: Path, seed: int) -> DispatcherGroup:
