Ask after a restart whether an attempt before the one that was handed back may have run

What callers saw: a keyed job ended as "it has not run and may be submitted again" after a kill, though its first attempt had its effect. Cause: the recovery looked at the last attempt only, though the store has all; a further attempt did not ask for a termination either. Ruled out: an end that was not recorded, the report of the runner (true of the last attempt). Change: a hand-back after a restart ends the last attempt in the store, and what is left of the attempts decides: unrun, sent again within the limits of the class, or FAILED without retryAfter. A terminated job is not sent again after the give-up.

--- a/grebestack/jobs/recovery.py
+++ b/grebestack/jobs/recovery.py
@@ -91,11 +91,9 @@
         on_ended = partial(self._on_earlier_attempt_ended, job.id)
         ambiguous = service.late_reports.ambiguous_outcomes(job.id, worker)
         service.workers.set_callback_handler(job.id, worker, on_ended, ambiguous)
-        if job.category in service.class_indices:
-            job_class = service.settings.classes[service.class_indices[job.category]]
-            limit = retry_limit(job_class, service.settings, earlier)
-            if limit is not None:
-                self._request_give_up(job.id, limit)
+        limit = self._retry_limit(job.id, earlier)
+        if limit is not None:
+            self._request_give_up(job.id, limit)
         deadline = job.deadline
         if deadline == NO_DEADLINE:  # use the deadline of its class, which counts from its release
             index = service.class_indices.get(job.category, 0)
@@ -111,6 +109,7 @@
         if (
             released_job is None
             or released_job.earlier_worker is None
+            or released_job.is_terminated
             or service.wall_clock() >= limit.until_s
         ):
             return
@@ -131,19 +130,28 @@
         if (
             released_job is None
             or released_job.earlier_worker is None
-            or service.stopping
-            or service.wall_clock() >= limit.until_s
+            or not self._may_send_again(released_job, limit)
         ):
             return
-        log.info("job_sent_again", extra={"kv": {"job": job_id, "server": released_job.earlier_worker}})
-        if released_job.timer is not None:
-            released_job.timer.cancel()
         on_result = partial(self._on_earlier_result, job_id)
         service.workers.set_callback_handler(
             job_id, released_job.earlier_worker, on_result, frozenset(FAILURES)
         )
         service.awaited_results[job_id] = released_job.earlier_worker
         service.late_reports.add(job_id, released_job.earlier_worker, FAILURES)
+        self._return_to_queue(released_job, limit)
+
+    def _may_send_again(self, released_job: ReleasedJob, limit: RetryLimit) -> bool:
+        service = self.service
+        is_in_time = service.wall_clock() < limit.until_s
+        return is_in_time and not (released_job.is_terminated or service.stopping)
+
+    def _return_to_queue(self, released_job: ReleasedJob, limit: RetryLimit) -> None:
+        """Return a job that may have run to the queue; it ends if it is not sent within the limit."""
+        service, job_id = self.service, released_job.id
+        log.info("job_sent_again", extra={"kv": {"job": job_id, "server": released_job.earlier_worker}})
+        if released_job.timer is not None:
+            released_job.timer.cancel()
         service.retry_limits[job_id] = limit
         service.store.set_state(job_id, JobState.REQUEUED)
         if limit.until_s < math.inf:
@@ -175,11 +183,37 @@
         if outcome is Outcome.OK:
             self.service.finish(job_id, JobState.DONE, result=result)
         elif outcome.never_ran:
-            annotation = "handed back after a restart: it has not run and may be submitted again"
-            self.service.finish(job_id, JobState.FAILED, annotation=annotation, retry_after=0.0)
+            self._on_handed_back(job_id, outcome)
         else:
             self.service.finish(job_id, JobState.FAILED, annotation="failed: it may have run")
 
+    def _on_handed_back(self, job_id: str, outcome: Outcome) -> None:
+        """The last attempt never ran; the job goes on by what is known of the attempts before it."""
+        service, released_job = self.service, self.service.released_jobs[job_id]
+        worker = released_job.earlier_worker
+        assert worker is not None
+        until_s = service.late_reports.add(job_id, worker, [outcome])
+        service.store.record_last_attempt_unrun(job_id, outcome, until_s)
+        earlier = service.store.earlier_attempts(job_id).get(job_id)
+        if earlier is None:
+            annotation = "handed back after a restart: it has not run and may be submitted again"
+            service.finish(job_id, JobState.FAILED, annotation=annotation, retry_after=0.0)
+            return
+        limit = self._retry_limit(job_id, earlier)
+        if limit is not None and self._may_send_again(released_job, limit):
+            self._return_to_queue(released_job, limit)
+        else:
+            annotation = "handed back after a restart: an attempt before may have run"
+            service.finish(job_id, JobState.FAILED, annotation=annotation)
+
+    def _retry_limit(self, job_id: str, earlier: EarlierAttempts) -> RetryLimit | None:
+        """Return the limits for sending a job again, or None if it must not be sent."""
+        service, job = self.service, self.service.store.get(job_id)
+        if job is None or job.category not in service.class_indices:
+            return None
+        job_class = service.settings.classes[service.class_indices[job.category]]
+        return retry_limit(job_class, service.settings, earlier)
+
     def on_overdue(self, job_id: str) -> None:
         """End a job from before the restart whose outcome did not arrive in time."""
         annotation = "nothing was heard of it by its deadline since a restart: it has perhaps run"
--- a/grebestack/jobs/released_job.py
+++ b/grebestack/jobs/released_job.py
@@ -29,6 +29,7 @@
         self.refusal_retry_after_ms: float | None = None  # set if refused before the acknowledgement
         self.acknowledged = True
         self.earlier_worker: str | None = None  # the worker that may have run it before a restart
+        self.is_terminated = False  # by a client, while the attempt from before a restart is awaited
         self.retry_limit = service.retry_limits.get(job_id)  # set if it is sent again after a restart
         self.timer: Timer | None = None
 
--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -549,6 +549,7 @@
         elif released_job.request is not None:
             self.engine.cancel_request(released_job.request)
         elif released_job.earlier_worker is not None:
+            released_job.is_terminated = True
             self.workers.cancel_job(
                 released_job.earlier_worker, job.id, partial(self.recovery.on_cancelled, job.id)
             )
--- a/grebestack/jobs/store.py
+++ b/grebestack/jobs/store.py
@@ -319,13 +319,14 @@
             for worker, sent_s, outcome, never_ran in rows
         ]
 
-    def earlier_attempts(self) -> dict[str, EarlierAttempts]:
-        """Return the attempts that may have run, of the jobs that have not ended."""
+    def earlier_attempts(self, job_id: str | None = None) -> dict[str, EarlierAttempts]:
+        """Return the attempts that may have run, of one job or of all, that have not ended."""
         rows = self.db.execute(
             "SELECT d.job, min(d.sent), count(*), (SELECT last.server FROM dispatches last"
             " WHERE last.job = d.job AND NOT last.never_ran ORDER BY last.rowid DESC LIMIT 1)"
             f" FROM dispatches d JOIN jobs j ON j.id = d.job AND j.{NOT_ENDED}"
-            " WHERE NOT d.never_ran GROUP BY d.job"
+            " WHERE NOT d.never_ran AND (? IS NULL OR d.job = ?) GROUP BY d.job",
+            (job_id, job_id),
         )
         return {
             job: EarlierAttempts(worker, first_sent_s, count) for job, first_sent_s, count, worker in rows
@@ -343,6 +344,14 @@
             for job, callback_id, outcome, until_s in rows
         ]
 
+    def record_last_attempt_unrun(self, job_id: str, outcome: Outcome, reports_until_s: float) -> None:
+        """Record that the last attempt of a job that may have run has never run."""
+        self.db.execute(
+            "UPDATE dispatches SET outcome = ?, never_ran = 1, reports_until = ? WHERE rowid ="
+            " (SELECT max(rowid) FROM dispatches WHERE job = ? AND NOT never_ran)",
+            (outcome.value, reports_until_s, job_id),
+        )
+
     def record_attempt_ends(self, ends: Iterable[AttemptEnd]) -> None:
         """Record the ends of attempts."""
         statement = "UPDATE dispatches SET outcome = ?, never_ran = ?, reports_until = ? WHERE rowid = ?"
--- a/tests/test_jobs_after_restart.py
+++ b/tests/test_jobs_after_restart.py
@@ -119,6 +119,54 @@
     assert not harness.workers.sent_attempts
 
 
+@pytest.mark.parametrize("group", [api.Group.ALL, api.Group.CELL])
+def test_a_job_handed_back_after_a_restart_may_have_run_in_an_attempt_before(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, group: api.Group
+) -> None:
+    # Guards against "it has not run and may be submitted again" of a job whose first attempt had its effect.
+    classes = tuple(replace(c, group=group) for c in RestartHarness.settings.classes)
+    monkeypatch.setattr(RestartHarness, "settings", replace(RestartHarness.settings, classes=classes))
+    harness = RestartHarness(tmp_path, worker_count=2)
+    job = harness.submit("k", "book")
+    harness.end(job, Outcome.ERROR)
+    harness.clock.advance(300.0)
+    assert harness.sent_jobs() == [job, job]
+    harness.crash()
+    on_ended = harness.workers.callback_handlers[job]
+    assert on_ended is not None
+    on_ended(Outcome.REJECTED, b"")
+    harness.clock.advance(500.0)
+    if group is api.Group.CELL:  # it is not known any more
+        ended = harness.ended_jobs[job]
+        assert "may have run" in ended.annotation and ended.retry_after is None
+        assert not harness.workers.sent_attempts
+        return
+    assert harness.sent_jobs() == [job] and job not in harness.ended_jobs
+    harness.end(job)
+    assert harness.ended_jobs[job].result == b"done"
+
+
+def test_a_job_handed_back_after_a_restart_that_was_sent_once_has_not_run(harness: RestartHarness) -> None:
+    job = harness.submit("k", "order")
+    harness.crash()
+    on_ended = harness.workers.callback_handlers[job]
+    assert on_ended is not None
+    on_ended(Outcome.REJECTED, b"")
+    assert "has not run" in harness.ended_jobs[job].annotation
+    assert harness.ended_jobs[job].retry_after == 0.0
+
+
+def test_a_job_terminated_after_a_restart_is_not_sent_again(harness: RestartHarness) -> None:
+    # Guards against a further attempt that overtakes the cancel of the one from before the restart.
+    job = harness.submit("k", "book")
+    harness.crash()
+    harness.clock.advance(100.0)
+    harness.service.terminate(harness.service.find(job))
+    harness.workers.abandoned.pop(job)()
+    harness.clock.advance(5000.0)
+    assert not harness.workers.sent_attempts
+
+
 def test_the_limit_of_a_retry_follows_effect_window_and_settings() -> None:
     view, book, order = RestartHarness.settings.classes
     earlier = EarlierAttempts("w0", 100.0, 1)
