Let the next job of an array in when the one whose turn it was is cancelled or held

What callers saw: an array one at a time; its second job was cancelled while it waited for a runner, and the rest never started. Cause: a freed slot takes one job out of those over the limit; where that one ended or was held before its release, none followed. Ruled out: the drain of the case (it only keeps the job in the queue). Change: whatever leaves the ready jobs of a batch lets the next one in, by the function that a freed slot uses.

--- a/grebestack/job_queue/job_queue.py
+++ b/grebestack/job_queue/job_queue.py
@@ -269,8 +269,9 @@
         self.by_retry_time.remove(node.retry_at_ms, node)
         for queue in self.class_queues[node.job_class].ready:
             queue.remove(node.due_ms, node)
-        if node.batch in self.batches:
-            self.batches[node.batch].over_limit.remove(node.due_ms, node)
+        if (batch := self.batches.get(node.batch or "")) is not None:
+            batch.over_limit.remove(node.due_ms, node)
+            self._admit_next(batch)
 
     def _remove_job(self, node: JobNode, done: bool, root_job: str = "") -> None:
         """Remove every trace of a job that has ended or was never acknowledged."""
@@ -320,6 +321,13 @@
         if batch is None:
             return
         batch.in_progress -= 1
+        self._admit_next(batch)
+
+    def _admit_next(self, batch: BatchNode) -> None:
+        """Queue the first job over the limit if the batch has a free slot.
+
+        To be called whenever a job of the batch is in progress, or among the queued ones, no longer.
+        """
         if batch.over_limit and batch.in_progress < batch.max_parallel:
             self._enqueue(batch.over_limit.pop())
 
--- a/tests/test_job_queue.py
+++ b/tests/test_job_queue.py
@@ -303,6 +303,29 @@
     )
 
 
+@pytest.mark.parametrize("max_parallel", [1, 2])
+@pytest.mark.parametrize("event", [api.TerminationRequested("g3"), api.HoldChanged("g3", True)])
+def test_a_job_that_leaves_the_queue_before_it_is_released_passes_its_slot_on(
+    max_parallel: int, event: api.Event
+) -> None:
+    # Guards against jobs of an array that never start, as the one whose turn it was is cancelled or held.
+    driver = QueueDriver(lookahead=10)
+    driver.handle(api.BatchAdded("g", max_parallel))
+    driver.submit(*(job(f"g{n}", batch="g") for n in range(3 - max_parallel, 6)))
+    first = names(driver.released)
+    assert len(first) == max_parallel and "g3" not in first
+    driver.handle(api.ClassAvailabilityChanged(0, False))
+    for name in first:
+        driver.handle(api.JobSent(name))
+        driver.end(name)
+    driver.handle(event)
+    driver.handle(api.ClassAvailabilityChanged(0, True))
+    driver.advance(1.0)
+    while driver.in_engine:
+        driver.end(next(iter(driver.in_engine)))
+    assert {"g4", "g5"} <= set(names(driver.released)) and "g3" not in names(driver.released)
+
+
 def test_a_batch_waits_until_it_is_recorded_and_can_be_discarded() -> None:
     driver = QueueDriver()
     driver.submit(job("a"), job("b", deadline_unix_ms=driver.now_ms + 10.0), unrecorded_batch="i")
