End a job at its deadline that was held while it was let in

What callers saw: a job that was let in and held stayed QUEUED_HELD after its deadline, and waitTerminated was not answered. Cause: the release takes the deadline out of the list, and a job that came back held was blocked before it was put back. Ruled out: the engine, which had withdrawn the job. Change: the deadline is put back for whatever comes back. Result: test_a_job_that_is_held_while_it_is_let_in_ends_at_its_deadline fails on the code before and passes.

--- a/grebestack/job_queue/job_queue.py
+++ b/grebestack/job_queue/job_queue.py
@@ -373,6 +373,9 @@
             self._leave_unsent(node, sent=False)
         self._set_stage(node, JobStage.READY)
         self._free_batch_slot(node)
+        if node.deadline_unix_ms is not None:
+            self.by_deadline.remove(node.deadline_unix_ms, node)  # that of a direct job is still there
+            self.by_deadline.add(node.deadline_unix_ms, node)
         if node.held:
             self._block_for_hold(node)
             return
@@ -391,8 +394,6 @@
             )
             return
         node.retry_at_ms = self.now_ms + pause
-        if node.deadline_unix_ms is not None:
-            self.by_deadline.add(node.deadline_unix_ms, node)
         self._enqueue(node)
 
     def _on_job_ended(self, event: api.JobEnded) -> None:
--- a/tests/test_job_queue.py
+++ b/tests/test_job_queue.py
@@ -248,6 +248,17 @@
     assert driver.ended["y"].dependency == "x"
 
 
+def test_a_job_that_is_held_while_it_is_let_in_ends_at_its_deadline() -> None:
+    # Guards against a held job that outlives its deadline, which its release had taken out of the list.
+    driver = QueueDriver()
+    driver.submit(job("x", deadline_unix_ms=driver.now_ms + 3000.0))
+    assert "x" in driver.in_engine
+    driver.handle(api.HoldChanged("x", True))
+    assert "x" not in driver.in_engine and driver.queue.is_held("x")
+    driver.advance(3100.0)
+    assert driver.ended["x"].cause is EndCause.OVERDUE
+
+
 def test_an_aged_job_is_withdrawn_and_released_before_the_others() -> None:
     driver = QueueDriver(lookahead=1)
     driver.submit(job("a"))
