Keep an accepted operation on an array in the store until it has reached all jobs

What callers saw: the cancel of an array of 20,000 orders was answered 202; after a kill 0.5 s later some thousand of them were sent. Cause: the operation was a chain of calls in memory, which a kill, or one failure of the store, ended for good. Ruled out: the ends of the jobs that it had reached, which were stored. Change: batch_operations (schema 4) has an operation before its answer, with the last job reached. After a restart what it has not reached and cannot have run is ended or held in the store before the queue is filled, and it goes on with the others. A batch that is being terminated lets no job in. jobs/batch_control.py holds what was in the API.

--- a/grebestack/drmaa/api.py
+++ b/grebestack/drmaa/api.py
@@ -10,7 +10,6 @@
 import math
 import sqlite3
 from collections.abc import Callable
-from contextlib import suppress
 from functools import partial
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -24,6 +23,7 @@
     schema,
     validate,
 )
+from grebestack.jobs.batch_control import BatchOperation
 from grebestack.jobs.records import NO_DEADLINE, Batch, Job, JobError, JobState
 from grebestack.jobs.service import JobService
 from grebestack.routing.interfaces import Clock, Timer
@@ -32,7 +32,6 @@
 log = logging.getLogger(__name__)
 MAX_LISTED_JOBS = 1000
 MAX_WAITING_CALLS = 4096  # bounds their memory
-BATCH_CHUNK_JOBS = 50  # jobs held, released or terminated in one turn of the loop
 CREATED, FOUND = 201, 200
 
 
@@ -216,7 +215,7 @@
                 ],
             ):
                 batch = self._find_batch(batch_id)
-                self._control_batch(batch.id, operation, -1)
+                service.batch_control.start(batch.id, BatchOperation(operation))
                 self._respond(connection, 202, self._batch(batch))
             case _:
                 raise DrmaaError("UNSUPPORTED_OPERATION", f"{method} /{'/'.join(parts)} is not supported")
@@ -281,21 +280,6 @@
 
         return done
 
-    def _control_batch(self, batch_id: str, operation: str, after_number: int) -> None:
-        """Hold, release or terminate the jobs after this number of a submission, a chunk in each turn."""
-        try:
-            members = self.service.store.batch_members(batch_id, BATCH_CHUNK_JOBS, after_number)
-            for job_id, _, _ in members:
-                # A job whose state no longer allows it, since it has ended or runs, is skipped.
-                with suppress(JobError):
-                    getattr(self.service, operation)(self.service.find(job_id))
-        except sqlite3.Error as error:
-            log.error("store_failed", extra={"kv": {"batch": batch_id, "error": error}})
-            return
-        if len(members) == BATCH_CHUNK_JOBS:
-            rest = partial(self._control_batch, batch_id, operation, members[-1][1])
-            self.clock.call_at(self.clock.now_ms(), rest)
-
     # Calls that wait for a job.
 
     def _wait(self, connection: Connection, job: Job, raw: Any) -> None:
--- a/grebestack/job_queue/interface.py
+++ b/grebestack/job_queue/interface.py
@@ -134,6 +134,13 @@
     batch: str
 
 
+@dataclass(frozen=True, slots=True)
+class BatchStopped:
+    """No further job of a batch is let in: each is being terminated."""
+
+    batch: str
+
+
 @dataclass(frozen=True, slots=True)
 class BatchDiscarded:
     """A batch could not be recorded completely: its jobs were never acknowledged."""
@@ -218,6 +225,7 @@
 Event = (
     JobsSubmitted
     | BatchRecorded
+    | BatchStopped
     | BatchDiscarded
     | BatchAdded
     | HoldChanged
--- a/grebestack/job_queue/job_queue.py
+++ b/grebestack/job_queue/job_queue.py
@@ -57,6 +57,7 @@
         self.handlers: dict[type, Callable[..., None]] = {
             api.JobsSubmitted: self._on_jobs_submitted,
             api.BatchRecorded: self._on_batch_recorded,
+            api.BatchStopped: self._on_batch_stopped,
             api.BatchDiscarded: self._on_batch_discarded,
             api.BatchAdded: self._on_batch_added,
             api.HoldChanged: self._on_hold_changed,
@@ -206,6 +207,10 @@
         if event.batch in self.batches:
             self._complete_batch(self.batches[event.batch])
 
+    def _on_batch_stopped(self, event: api.BatchStopped) -> None:
+        if (batch := self.batches.get(event.batch)) is not None:
+            batch.max_parallel = 0
+
     def _on_batch_discarded(self, event: api.BatchDiscarded) -> None:
         # No job outside the batch can depend on these: no client knows their names yet.
         for node in self.unrecorded_jobs.pop(event.batch, ()):
--- a/grebestack/jobs/recovery.py
+++ b/grebestack/jobs/recovery.py
@@ -46,6 +46,7 @@
     def _restore(self) -> None:
         service = self.service
         service.store.delete_batches()
+        service.batch_control.apply_to_stored_jobs()
         dependencies: dict[str, list[Dependency]] = {}
         for job_id, prerequisite, condition, done in service.store.open_dependencies():
             dependencies.setdefault(job_id, []).append(Dependency(prerequisite, condition, done))
@@ -76,6 +77,7 @@
             }
             log.info("jobs_restored", extra={"kv": kv})
             service.handle_event(queue_api.JobsSubmitted(tuple(specs), restored=True))
+        service.batch_control.resume()
 
     def _take_over(self, job: Job, earlier: EarlierAttempts) -> None:
         """Await the call-back of a job that may have run, so that it does not run twice.
--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -20,6 +20,7 @@
 from grebestack.job_queue import interface as queue_api
 from grebestack.job_queue.interface import Condition, Dependency, JobSpec
 from grebestack.job_queue.job_queue import JobQueue
+from grebestack.jobs.batch_control import BatchControl
 from grebestack.jobs.batch_intake import BatchIntake
 from grebestack.jobs.descriptions import describe_wait, end_annotation
 from grebestack.jobs.earlier_attempts import RetryLimit
@@ -117,6 +118,7 @@
         self.awaited_results: dict[str, str] = {}
         self.recording_scheduled = self.availability_check_scheduled = False
         self.batch_intake, self.recovery = BatchIntake(self), JobRecovery(self)
+        self.batch_control = BatchControl(self)
         self._check_availability()
         engine.table.after_change = self._schedule_availability_check
         self._poll_wall_clock()
--- a/grebestack/jobs/store.py
+++ b/grebestack/jobs/store.py
@@ -10,11 +10,12 @@
 
 from grebestack.core.api import Outcome
 from grebestack.job_queue.interface import Condition
+from grebestack.jobs.batch_control import BatchOperation, StoredOperation
 from grebestack.jobs.earlier_attempts import EarlierAttempts
 from grebestack.jobs.late_reports import LateReport
 from grebestack.jobs.records import AttemptEnd, AttemptRecord, Batch, Job, JobState
 
-VERSION = 3
+VERSION = 4
 # The changes of each schema version; a new file gets all of them, an older one those that it lacks.
 MIGRATIONS = (
     """
@@ -75,8 +76,22 @@
     """
     ALTER TABLE dispatches ADD COLUMN reports_until REAL;  -- until when its server may repeat its report
     """,
+    """
+    CREATE TABLE batch_operations (        -- accepted, and not applied to all jobs yet
+        number INTEGER PRIMARY KEY,
+        batch TEXT NOT NULL REFERENCES batches (id) ON DELETE CASCADE,
+        operation TEXT NOT NULL,
+        after_number INTEGER NOT NULL      -- of the last job that it has reached
+    );
+    """,
 )
 NOT_ENDED = "state NOT IN ('DONE', 'FAILED')"
+UNREACHED_AND_UNSENT = (
+    f"batch = ? AND number > ? AND {NOT_ENDED}"
+    " AND NOT EXISTS (SELECT 1 FROM dispatches d WHERE d.job = jobs.id AND NOT d.never_ran)"
+)
+BEFORE_FIRST_NUMBER = -1
+HELD_STATES = {JobState.QUEUED: JobState.QUEUED_HELD, JobState.REQUEUED: JobState.REQUEUED_HELD}
 FIELDS = (
     "id",
     "submission",
@@ -429,6 +444,52 @@
         )
         return [(name, max_parallel, bool(failed)) for name, max_parallel, failed in rows]
 
+    # Operations on batches.
+
+    def add_batch_operation(self, batch: str, operation: BatchOperation) -> StoredOperation:
+        """Record an operation that is accepted."""
+        row = self.db.execute(
+            "INSERT INTO batch_operations (batch, operation, after_number) VALUES (?, ?, ?)",
+            (batch, operation, BEFORE_FIRST_NUMBER),
+        ).lastrowid
+        assert row is not None
+        return StoredOperation(row, batch, operation, BEFORE_FIRST_NUMBER)
+
+    def batch_operations(self) -> list[StoredOperation]:
+        """Return the operations that have not reached all jobs, in order."""
+        rows = self.db.execute(
+            "SELECT number, batch, operation, after_number FROM batch_operations ORDER BY number"
+        )
+        return [
+            StoredOperation(row, batch, BatchOperation(operation), after)
+            for row, batch, operation, after in rows
+        ]
+
+    def record_batch_progress(self, stored: StoredOperation, is_complete: bool) -> None:
+        """Record how far an operation has come, or that it is complete."""
+        if is_complete:
+            self.db.execute("DELETE FROM batch_operations WHERE number = ?", (stored.row,))
+        else:
+            self.db.execute(
+                "UPDATE batch_operations SET after_number = ? WHERE number = ?",
+                (stored.after_number, stored.row),
+            )
+
+    def finish_unsent(self, stored: StoredOperation, finished: float, annotation: str) -> None:
+        """End the jobs that an operation has not reached and that can't have run."""
+        self.db.execute(
+            f"UPDATE jobs SET state = 'FAILED', finished = ?, annotation = ? WHERE {UNREACHED_AND_UNSENT}",
+            (finished, annotation, stored.batch, stored.after_number),
+        )
+
+    def hold_unsent(self, stored: StoredOperation) -> None:
+        """Hold the jobs that an operation has not reached and that can't have run."""
+        for state, held in HELD_STATES.items():
+            self.db.execute(
+                f"UPDATE jobs SET state = ? WHERE {UNREACHED_AND_UNSENT} AND state = ?",
+                (held, stored.batch, stored.after_number, state),
+            )
+
     # Workers drained by the operator.
 
     def drained_workers(self) -> set[str]:
