Take a job out of the engine when it is held, also after a runner has handed it back

What callers saw: an order that was handed back and then held (200, REQUEUED_HELD) was sent 2.2 s later. Cause: the service asks whether an attempt may have run, the queue whether the job was sent; the job that was handed back is both. Ruled out: a release, a second job. Change: hold withdraws what has not run before it tells the queue. Result: test_a_job_that_was_handed_back_and_is_held_is_not_sent fails on the code before and passes.

--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -573,6 +573,7 @@
         requeued = job.state is JobState.REQUEUED
         self.store.set_state(job.id, JobState.REQUEUED_HELD if requeued else JobState.QUEUED_HELD)
         self._defer_ready_time(job.id, None)
+        self._withdraw(job.id)  # it may wait in the engine, also after a worker has handed it back
         self.handle_event(queue_api.HoldChanged(job.id, True))
         log.info("job_hold", extra={"kv": {"job": job.id}})
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -217,6 +217,22 @@
     assert harness.store.find_batch("submission", "many") is None
 
 
+def test_a_job_that_was_handed_back_and_is_held_is_not_sent(harness: JobServiceHarness) -> None:
+    # Guards against a hold that is accepted, while the job waits in the engine for another attempt.
+    job = harness.submit_queued("k")
+    assert harness.sent_jobs() == [job]
+    harness.engine.table.set_cordoned("w0", True)
+    harness.end(job, Outcome.REJECTED)
+    assert harness.state(job) is JobState.REQUEUED
+    harness.service.hold(harness.service.find(job))
+    harness.engine.table.set_cordoned("w0", False)
+    harness.clock.advance(5000.0)
+    assert harness.sent_jobs() == [job] and harness.state(job) is JobState.REQUEUED_HELD
+    harness.service.release(harness.service.find(job))
+    harness.clock.advance(5000.0)
+    assert harness.sent_jobs() == [job, job]
+
+
 def test_an_attempt_that_cannot_be_recorded_is_not_sent(harness: JobServiceHarness) -> None:
     # Guards against an order that is sent again after a restart because no record says that it was sent.
     harness.drain(True)
