One piece of code for what the change wrote twice, and no query a job at the restart

Found in a read of the whole change; no check, bound or assertion changed: - the recovery read each job from the store again for its category, which it had: the limit of a retry takes the category; - whether an attempt may have run stood three times in core and routing: a property of each Attempt; - a sent and an adopted attempt were counted by the same three lines: Policy._add_attempt; - reports of closed and of moved requests were one method twice; a class was looked up twice for each job; - the history of each request was built in every search for what can move, though the successor reads histories; - held states stood in hold, release and the store; the pause before a write to the store is tried again had two values, of 0.5 and 1 s: it is 1 s for operations on batches too, the one change of behaviour; - the memory of a process was read by four pieces of code in tests and benchmarks: tests/process_memory.py. Ruled out: the pairs of same shape among imports and fields of dataclasses, and the two schedulers of a turn, which share no rule.

--- a/benchmarks/client_floods.py
+++ b/benchmarks/client_floods.py
@@ -27,6 +27,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from tests.process_memory import memory_mb  # noqa: E402
 from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed  # noqa: E402
 
 MEMORY_MB, SOCKETS = 192, 1024
@@ -172,14 +173,6 @@
     queue.put(results)
 
 
-def peak_mb(pid: int) -> float:
-    """The highest resident memory of a process so far."""
-    text = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-    match = re.search(r"VmHWM:\s+(\d+) kB", text)
-    assert match is not None
-    return int(match[1]) / 1024.0
-
-
 def longest_delay_ms(log: str) -> float:
     """The longest delay of the event loop that a log tells of; 0 if none was long enough to be logged."""
     return max(
@@ -209,14 +202,14 @@
                 results = queue.get()
                 flood.join()
                 others.join()
-                peak = peak_mb(testbed.process.pid)
+                peak_mb = memory_mb(testbed.process.pid)["VmHWM"]
                 log.seek(0)
                 delay_ms = longest_delay_ms(log.read())
         finally:
             testbed.close()
     good = sorted(value for value in results if value is not None)
     return {
-        "peak_mb": round(peak, 1),
+        "peak_mb": round(peak_mb, 1),
         "others_good": float(len(good)),
         "others_lost": float(len(results) - len(good)),
         "others_p99_ms": round(percentile(good, 0.99), 1),
--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -14,7 +14,6 @@
 import asyncio
 import json
 import os
-import re
 import subprocess
 import sys
 import tempfile
@@ -31,6 +30,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from tests.ports import reserved_port  # noqa: E402
+from tests.process_memory import memory_mb  # noqa: E402
 
 WORKER_COUNTS = (10, 100, 1024)
 SLOTS, MEAN_RUN_MS, LOAD_SHARE = 8, 500.0, 0.6
@@ -108,11 +108,10 @@
                 raise RuntimeError("the dispatcher exited before it was ready")
         ready_ms = (time.monotonic() - start_s) * 1000.0
         assert f"servers={count} live=True".encode() in line, line
-        status = Path(f"/proc/{process.pid}/status").read_text()
-        memory_mb = {name: int(kb) / 1024.0 for name, kb in re.findall(r"(\w+):\s+(\d+) kB", status)}
+        memory = memory_mb(process.pid)
         return {
             f"ready_ms_{count}": ready_ms,
-            f"own_mb_{count}": memory_mb["VmHWM"] - memory_mb["RssFile"],
+            f"own_mb_{count}": memory["VmHWM"] - memory["RssFile"],
             f"descriptors_{count}": float(len(os.listdir(f"/proc/{process.pid}/fd"))),
         }
     finally:
--- a/grebestack/core/policy.py
+++ b/grebestack/core/policy.py
@@ -188,9 +188,7 @@
         attempt = Attempt(
             worker, event.sent_ms, arrival.slots, arrival.memory, run_ms, started_ms=event.sent_ms
         )
-        request.attempts.append(attempt)
-        worker.count_attempt(arrival, 1)
-        worker.recent_attempts.append(attempt)
+        self._add_attempt(request, attempt)
 
     def _add_request(self, arrival: api.RequestArrived, is_over_quota: bool) -> Request:
         """Record a request, which is answered by its deadline whatever becomes of it."""
@@ -243,11 +241,9 @@
         by_ms = send_by_ms(request)  # must be computed before this attempt is added
         if worker.warm_at_ms > context.now_ms:
             self.slow_start.draw_turn(worker, arrival.slots, run_ms, context.now_ms)
-        request.attempts.append(attempt)
-        worker.count_attempt(arrival, 1)
+        self._add_attempt(request, attempt)
         if arrival.cache_key is not None:
             worker.add_cached_key(arrival.cache_key, MAX_CACHED_KEYS)
-        worker.recent_attempts.append(attempt)
         if context.settings.reports_attempt_start:
             worker.unstarted_count += 1
             overdue_ms = context.now_ms + self.outliers.start_timeout_ms(worker, request)
@@ -256,6 +252,13 @@
             attempt.started_ms = context.now_ms
         self.actions.append(api.Send(arrival.request, worker.entry.worker, None, by_ms))
 
+    @staticmethod
+    def _add_attempt(request: Request, attempt: Attempt) -> None:
+        """Record an attempt and count it at its worker."""
+        request.attempts.append(attempt)
+        attempt.worker.count_attempt(request.arrival, 1)
+        attempt.worker.recent_attempts.append(attempt)
+
     def _cancel_attempts(self, request: Request) -> None:
         for attempt in request.awaited_attempts():
             attempt.is_cancelled = True
--- a/grebestack/core/requests.py
+++ b/grebestack/core/requests.py
@@ -82,7 +82,7 @@
         if self.arrival.earlier_possible_run is not None:
             return self.arrival.earlier_possible_run
         for attempt in self.attempts:
-            if attempt.outcome is None or not attempt.outcome.never_ran:
+            if attempt.may_have_run:
                 entry = attempt.worker.entry
                 return PossibleRun(attempt.sent_ms, entry.zone, entry.cell)
         return None
--- a/grebestack/core/workers.py
+++ b/grebestack/core/workers.py
@@ -223,3 +223,8 @@
     outcome: Outcome | None = None
     ended_ms: float = float("inf")
     is_cancelled: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it is not proven never to have run."""
+        return self.outcome is None or not self.outcome.never_ran
--- a/grebestack/jobs/batch_control.py
+++ b/grebestack/jobs/batch_control.py
@@ -16,14 +16,13 @@
 from grebestack.job_queue import interface as queue_api
 from grebestack.job_queue.interface import EndCause
 from grebestack.jobs.descriptions import end_annotation
-from grebestack.jobs.records import JobError
+from grebestack.jobs.records import STORE_RETRY_MS, JobError
 
 if TYPE_CHECKING:
     from grebestack.jobs.service import JobService
 
 log = logging.getLogger(__name__)
 JOBS_PER_TURN = 50
-STORE_RETRY_MS = 500.0
 
 
 class BatchOperation(StrEnum):
--- a/grebestack/jobs/records.py
+++ b/grebestack/jobs/records.py
@@ -36,6 +36,11 @@
         return self in (JobState.QUEUED_HELD, JobState.REQUEUED_HELD)
 
 
+HELD_STATES = {JobState.QUEUED: JobState.QUEUED_HELD, JobState.REQUEUED: JobState.REQUEUED_HELD}
+RELEASED_STATES = {held: queued for queued, held in HELD_STATES.items()}
+STORE_RETRY_MS = 1000.0  # until a failed write to the store is tried again
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """A job as it is stored; times are Unix seconds."""
--- a/grebestack/jobs/recovery.py
+++ b/grebestack/jobs/recovery.py
@@ -93,7 +93,7 @@
         on_ended = partial(self._on_earlier_attempt_ended, job.id)
         ambiguous = service.late_reports.ambiguous_outcomes(job.id, worker)
         service.workers.set_callback_handler(job.id, worker, on_ended, ambiguous)
-        limit = self._retry_limit(job.id, earlier)
+        limit = self._retry_limit(job.category, earlier)
         if limit is not None:
             self._request_give_up(job.id, limit)
         deadline = job.deadline
@@ -201,19 +201,20 @@
             annotation = "handed back after a restart: it has not run and may be submitted again"
             service.finish(job_id, JobState.FAILED, annotation=annotation, retry_after=0.0)
             return
-        limit = self._retry_limit(job_id, earlier)
+        job = service.store.get(job_id)
+        limit = None if job is None else self._retry_limit(job.category, earlier)
         if limit is not None and self._may_send_again(released_job, limit):
             self._return_to_queue(released_job, limit)
         else:
             annotation = "handed back after a restart: an attempt before may have run"
             service.finish(job_id, JobState.FAILED, annotation=annotation)
 
-    def _retry_limit(self, job_id: str, earlier: EarlierAttempts) -> RetryLimit | None:
-        """Return the limits for sending a job again, or None if it must not be sent."""
-        service, job = self.service, self.service.store.get(job_id)
-        if job is None or job.category not in service.class_indices:
+    def _retry_limit(self, category: str, earlier: EarlierAttempts) -> RetryLimit | None:
+        """Return the limits for sending a job of a category again, or None if it must not be sent."""
+        service = self.service
+        if category not in service.class_indices:
             return None
-        job_class = service.settings.classes[service.class_indices[job.category]]
+        job_class = service.settings.classes[service.class_indices[category]]
         return retry_limit(job_class, service.settings, earlier)
 
     def on_overdue(self, job_id: str) -> None:
--- a/grebestack/jobs/service.py
+++ b/grebestack/jobs/service.py
@@ -26,7 +26,10 @@
 from grebestack.jobs.earlier_attempts import RetryLimit
 from grebestack.jobs.late_reports import LateReports
 from grebestack.jobs.records import (
+    HELD_STATES,
     NO_DEADLINE,
+    RELEASED_STATES,
+    STORE_RETRY_MS,
     AttemptEnd,
     Batch,
     Job,
@@ -44,7 +47,6 @@
 from grebestack.routing.interfaces import Timer
 
 log = logging.getLogger(__name__)
-STORE_RETRY_MS = 1000.0  # until a failed write to the store is tried again
 MIN_PAUSE_MS = 50.0  # shortest pause before a refused job is tried again
 WALL_CLOCK_INTERVAL_MS = 1000.0  # between reads of the wall clock, which may be set while jobs wait
 RECORDING_DELAY_MS = 100.0  # uncritical records are collected for so long and written together
@@ -558,20 +560,19 @@
 
     def hold(self, job: Job) -> None:
         """Hold a job that is not sent yet."""
-        if job.state in (JobState.QUEUED_HELD, JobState.REQUEUED_HELD):
+        if job.state.held:
             return
         released_job = self.released_jobs.get(job.id)
         sent = released_job is not None and (
             released_job.request is None or released_job.request.may_have_run
         )
-        queued = job.state in (JobState.QUEUED, JobState.REQUEUED)
-        if not queued or sent:
-            state_text = "being sent" if queued else job.state
+        held_state = HELD_STATES.get(job.state)
+        if held_state is None or sent:
+            state_text = job.state if held_state is None else "being sent"
             raise JobError(
                 JobErrorKind.STATE, f"the job is {state_text}: only one that is queued can be held"
             )
-        requeued = job.state is JobState.REQUEUED
-        self.store.set_state(job.id, JobState.REQUEUED_HELD if requeued else JobState.QUEUED_HELD)
+        self.store.set_state(job.id, held_state)
         self._defer_ready_time(job.id, None)
         self._withdraw(job.id)  # it may wait in the engine, also after a worker has handed it back
         self.handle_event(queue_api.HoldChanged(job.id, True))
@@ -581,8 +582,7 @@
         """Release a held job."""
         if not job.state.held:
             raise JobError(JobErrorKind.STATE, f"the job is {job.state}: it is not held")
-        requeued = job.state is JobState.REQUEUED_HELD
-        self.store.set_state(job.id, JobState.REQUEUED if requeued else JobState.QUEUED)
+        self.store.set_state(job.id, RELEASED_STATES[job.state])
         self.handle_event(queue_api.HoldChanged(job.id, False))
         log.info("job_release", extra={"kv": {"job": job.id}})
 
--- a/grebestack/jobs/store.py
+++ b/grebestack/jobs/store.py
@@ -13,7 +13,7 @@
 from grebestack.jobs.batch_control import BatchOperation, StoredOperation
 from grebestack.jobs.earlier_attempts import EarlierAttempts
 from grebestack.jobs.late_reports import LateReport
-from grebestack.jobs.records import AttemptEnd, AttemptRecord, Batch, Job, JobState
+from grebestack.jobs.records import HELD_STATES, AttemptEnd, AttemptRecord, Batch, Job, JobState
 
 VERSION = 4
 # The changes of each schema version; a new file gets all of them, an older one those that it lacks.
@@ -91,7 +91,6 @@
     " AND NOT EXISTS (SELECT 1 FROM dispatches d WHERE d.job = jobs.id AND NOT d.never_ran)"
 )
 BEFORE_FIRST_NUMBER = -1
-HELD_STATES = {JobState.QUEUED: JobState.QUEUED_HELD, JobState.REQUEUED: JobState.REQUEUED_HELD}
 FIELDS = (
     "id",
     "submission",
--- a/grebestack/program/hot_restart_handover.py
+++ b/grebestack/program/hot_restart_handover.py
@@ -191,8 +191,9 @@
 
     def _reads_history_of(self, request: Request) -> bool:
         """Whether the successor would know which ended attempts may have run; former versions don't."""
-        is_unrun = request.ended_history().first_possible_run is None
-        return is_unrun or self.state_machine.successor_reads_history
+        if self.state_machine.successor_reads_history:
+            return True
+        return request.ended_history().first_possible_run is None
 
     def _hand_over_queued(self, successor: int, request: Request, responder: PlatformResponder) -> None:
         self._report_move(request)
@@ -211,7 +212,7 @@
 
     def _report_move(self, request: Request) -> None:
         if self.reports is not None:
-            self.reports.on_request_moved(request.call_id)
+            self.reports.on_request_closed(request.call_id, moved=True)
 
     def _send_request(self, successor: int, responder: PlatformResponder, message: Message) -> None:
         responder.connection.handler_data = None
--- a/grebestack/program/hot_restart_reports.py
+++ b/grebestack/program/hot_restart_reports.py
@@ -43,21 +43,15 @@
             self.unreported["attempt", key] = messages.attempt_ended(key)
             self.flush()
 
-    def on_request_closed(self, call_id: str) -> None:
-        """A request has been answered; only those are reported that were announced as open."""
-        if call_id in self.announced_call_ids:
-            self.announced_call_ids.discard(call_id)
-            self.unreported["request", call_id] = messages.request_closed(call_id)
-            self.flush()
-
-    def on_request_moved(self, call_id: str) -> None:
-        """A request is about to be handed over: the successor goes on to count it as open.
+    def on_request_closed(self, call_id: str, moved: bool = False) -> None:
+        """A request has been answered, or is about to be handed over; only announced ones are reported.
 
-        Former versions take this for its end, and adopt only requests that they count as ended.
+        The successor goes on to count one that has moved as open. Former versions take this for its end, and
+        adopt only requests that they count as ended.
         """
         if call_id in self.announced_call_ids:
             self.announced_call_ids.discard(call_id)
-            self.unreported["request", call_id] = messages.request_closed(call_id, moved=True)
+            self.unreported["request", call_id] = messages.request_closed(call_id, moved)
             self.flush()
 
     def flush(self) -> None:
--- a/grebestack/program/hot_restart_wire.py
+++ b/grebestack/program/hot_restart_wire.py
@@ -122,8 +122,7 @@
     """The HTTP request of a request that a worker runs; former versions tell only its call id."""
     if "headers" in message:
         return request_from_wire(message)
-    call_id: Any = message["id"]
-    return HttpRequest(b"POST", b"/api", {b"x-call-id": str(call_id).encode("latin-1")})
+    return HttpRequest(b"POST", b"/api", {b"x-call-id": str(message["id"]).encode("latin-1")})
 
 
 def _history_of_former_version(message: Message, callback_id: str, now_ms: float) -> RequestHistory:
--- a/grebestack/protocol/job_request.py
+++ b/grebestack/protocol/job_request.py
@@ -87,21 +87,21 @@
         info = parse_numbers(headers.get(b"x-call-info", b""))
         slots = next((info[name] for name in SLOTS_NAMES if name in info), 1.0)
         memory = next((info[name] for name in MEMORY_NAMES if name in info), 0.0)
-        job_class, limit_ms = self._parse_class(headers)
+        class_index, job_class = self._parse_class(headers)
         call_id, key = headers.get(b"x-call-id", b""), headers.get(b"idempotency-key")
         _require(bool(is_plain(call_id)), "X-Call-Id")
         _require(bool(is_plain(request.target)), "target")
         budget = headers.get(b"x-budget")
         _require(budget is None or bool(is_seconds(budget)), "X-Budget")
-        needs_key = self.classes[headers[b"x-call-class"]][1].effect is Effect.IDEMPOTENT_WITH_KEY
+        needs_key = job_class.effect is Effect.IDEMPOTENT_WITH_KEY
         _require(not needs_key if key is None else bool(is_plain(key)), "Idempotency-Key")
         is_size_valid = 0 < slots <= MAX_SLOTS_OR_MEMORY and 0 <= memory <= MAX_SLOTS_OR_MEMORY
         _require(is_size_valid, "X-Call-Info")
         cost_us = parse_numbers(b"cost=" + headers.get(b"x-call-cost", b"")).get("cost", 0.0)
         return JobRequest(
             call_id.decode("latin-1"),
-            job_class,
-            limit_ms if budget is None else min(limit_ms, float(budget) * 1000.0),
+            class_index,
+            job_class.deadline_ms if budget is None else min(job_class.deadline_ms, float(budget) * 1000.0),
             Payload(_head(request.target, call_id, key), request.body),
             slots,
             memory,
@@ -111,12 +111,12 @@
             headers.get(b"x-again") == b"1",
         )
 
-    def _parse_class(self, headers: Mapping[bytes, bytes]) -> tuple[int, float]:
-        """Return the index and the deadline of the class."""
+    def _parse_class(self, headers: Mapping[bytes, bytes]) -> tuple[int, JobClass]:
+        """Return the class and its index."""
         known = self.classes.get(headers.get(b"x-call-class", b""))
         if known is None:
             raise MalformedFieldError("X-Call-Class")
-        return known[0], known[1].deadline_ms
+        return known
 
     def unsendable(self, request: HttpRequest) -> JobRequest:
         """Return a job that another process has accepted and that can't be sent from here.
--- a/grebestack/routing/requests.py
+++ b/grebestack/routing/requests.py
@@ -47,6 +47,11 @@
     later_report: LaterReport = LaterReport.NONE  # once it has ended
     timer: Timer | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it is not proven never to have run."""
+        return self.outcome is None or not self.outcome.never_ran
+
 
 @dataclass(frozen=True, slots=True)
 class EndedAttempt:
@@ -121,9 +126,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether some attempt, here or before, is not proven never to have run."""
-        return self.history.first_possible_run is not None or any(
-            a.outcome is None or not a.outcome.never_ran for a in self.attempts
-        )
+        return self.history.first_possible_run is not None or any(a.may_have_run for a in self.attempts)
 
     def reported_again(self) -> tuple[EndedAttempt, ...]:
         """The ended attempts, here or before, that a worker may still report."""
@@ -137,10 +140,8 @@
     def ended_history(self) -> RequestHistory:
         """What another process must know of the attempts that have ended, here or before."""
         ended = [a for a in self.attempts if a.outcome is not None]
-        first_possible_run = self.history.first_possible_run or next(
-            (PossibleRun(a.sent_ms, a.zone, a.cell) for a in ended if a.outcome and not a.outcome.never_ran),
-            None,
-        )
+        own_possible_runs = (PossibleRun(a.sent_ms, a.zone, a.cell) for a in ended if a.may_have_run)
+        first_possible_run = self.history.first_possible_run or next(own_possible_runs, None)
         attempt_count = self.arrival.earlier_attempts + len(ended)
         return RequestHistory(attempt_count, self.reported_again(), first_possible_run)
 
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -257,7 +257,7 @@
             self.closing = True
 
     def disconnect(self) -> None:
-        """End the connection of a client that is gone; `on_disconnect` follows."""
+        """End the connection at once; `on_disconnect` follows if a request is handled."""
         if self.transport is not None:
             self.transport.abort()
 
@@ -493,7 +493,7 @@
         self.lingering: OrderedDict[Connection, float] = OrderedDict()  # since when
         self.drain_scope = DrainScope.NONE
         self.held_bytes = 0  # of memory, by all requests that are not responded to
-        self.max_held_bytes = max(DEFAULT_MAX_HELD_BYTES, 2 * max_body_bytes)
+        self.set_max_held_bytes(DEFAULT_MAX_HELD_BYTES)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # each read is parsed before the next one
         self.turns = TurnScheduler()
         self.hand_over_idle: Callable[[Connection, bool], bool] | None = None  # see `hand_over`
@@ -570,8 +570,8 @@
                 connection, _ = group.popitem(last=False)
                 if group is self.awaiting_request:
                     connection.on_request_timeout()
-                elif connection.transport is not None:
-                    connection.transport.abort()
+                else:
+                    connection.disconnect()
 
     def on_busy(self, connection: Connection) -> None:
         """A connection has a request to be handled."""
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -62,7 +62,8 @@
 
 
 async def job_at(dispatcher: InProcessDispatcher, attempts: int) -> Request:
-    """Wait until the only request has so many attempts, and until the last one is accepted."""
+    """Wait until the only request is open, has so many attempts, and until the last one is accepted."""
+    await dispatcher.wait_until(lambda: len(dispatcher.engine.open_requests()) == 1)
     await dispatcher.wait_until(lambda: len(dispatcher.engine.open_requests()[0].attempts) == attempts)
     (request,) = dispatcher.engine.open_requests()
     peer = dispatcher.peers[int(request.attempts[-1].worker[1:])]
@@ -104,7 +105,6 @@
     # Guards against a successor that takes a job that waits for one that never ran.
     async def test(predecessor: InProcessDispatcher, successor: Successor, client: Client) -> None:
         client.send_job("a", "book", "X-Budget: 1.0\r\n")
-        await predecessor.wait_until(lambda: len(predecessor.engine.open_requests()) == 1)
         request = await job_at(predecessor, 1)
         cell = CELLS[int(request.attempts[0].worker[1:])]
         draining = [api.WorkerState.DRAINING if c == cell else api.WorkerState.READY for c in CELLS]
@@ -129,7 +129,6 @@
     # Guards against a response that is lost because the connection is not open in this process yet.
     async def test(predecessor: InProcessDispatcher, successor: Successor, client: Client) -> None:
         client.send_job("a", "order")
-        await predecessor.wait_until(lambda: len(predecessor.engine.open_requests()) == 1)
         request = await job_at(predecessor, 1)
         worker, message = request.attempts[0].worker, hand_over(predecessor, request)
         await successor.adopt(request, message)
@@ -147,7 +146,6 @@
     # Guards against taking a job of which only the id and the runner are told for one that never ran.
     async def test(predecessor: InProcessDispatcher, successor: Successor, client: Client) -> None:
         client.send_job("a", "book")
-        await predecessor.wait_until(lambda: len(predecessor.engine.open_requests()) == 1)
         request = await job_at(predecessor, 1)
         worker, sent = request.attempts[0].worker, hand_over(predecessor, request)
         message = {key: sent[key] for key in ("deadline_ms", "is", "server", "id")}
@@ -166,7 +164,6 @@
     # Guards against a successor of the successor that gets the shorter deadline of a stop in between.
     async def test(predecessor: InProcessDispatcher, successor: Successor, client: Client) -> None:
         client.send_job("a", "order")
-        await predecessor.wait_until(lambda: len(predecessor.engine.open_requests()) == 1)
         request = await job_at(predecessor, 1)
         deadline_ms, message = request.arrival.deadline_ms, hand_over(predecessor, request)
         now_ms = successor.dispatcher.engine.clock.now_ms()
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 import time
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any, cast
 
 import pytest
@@ -16,6 +14,7 @@
 from grebestack.protocol import recent_call_ids
 from grebestack.transport import server, turns
 from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher
+from tests.process_memory import memory_mb
 from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed
 from tests.test_connections import FakeTransport, RecordingHandler, SilentHandler
 
@@ -105,13 +104,6 @@
     run_with_dispatcher(test)
 
 
-def peak_mb(pid: int) -> float:
-    """The highest resident memory of a process so far."""
-    match = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text(encoding="ascii"))
-    assert match is not None
-    return int(match[1]) / 1024.0
-
-
 def send_on_many_connections(address: Address, pieces: list[bytes]) -> list[socket.socket]:
     """Send the pieces in turn on many connections; some may be ended meanwhile."""
     sockets = [socket.create_connection(address, 20.0) for _ in range(FLOOD_CONNECTIONS)]
@@ -141,7 +133,7 @@
     sockets = send_on_many_connections(address, pieces)
     try:
         assert testbed.is_ready()
-        assert peak_mb(testbed.process.pid) < MEMORY_MB / 2
+        assert memory_mb(testbed.process.pid)["VmHWM"] < MEMORY_MB / 2
     finally:
         for sock in sockets:
             sock.close()
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import re
 from pathlib import Path
 
 from grebestack.consensus.messages import (
@@ -19,6 +18,7 @@
 )
 from grebestack.consensus.register import Ballot
 from tests.dispatcher_group import DispatcherGroup
+from tests.process_memory import memory_mb
 from tests.standins import SETTINGS, wait_until
 
 MEMORY_MB, SOCKETS = 32, 256  # the smallest limits that the platform sets
@@ -36,10 +36,9 @@
         group.run_on_loop(lambda: group.update_agent("n0"))
         sends_before = len(group.sends)
         wait_until(lambda: len(group.sends) > sends_before + 60)
-        status = Path(f"/proc/{pid}/status").read_text()
-        memory_mb = {name: int(kb) / 1024 for name, kb in re.findall(r"(\w+):\s+(\d+) kB", status)}
+        memory = memory_mb(pid)
         # Without mapped files, which the processes of a machine share.
-        assert memory_mb["VmHWM"] - memory_mb["RssFile"] <= MEMORY_MB
+        assert memory["VmHWM"] - memory["RssFile"] <= MEMORY_MB
         assert len(os.listdir(f"/proc/{pid}/fd")) <= SOCKETS
     finally:
         group.close()
