Split the HTTP server by concern: parser, connection, acceptor, messages, reasons of an end

Ruled out: a change of behaviour; what is new is the reason that a connection keeps of its end (EndReason), which is not logged yet. Change: request_parser.py, server.py (Connection), acceptor.py, http_message.py, end_reason.py; imports and names in tests follow. The broken variant 'handles two requests at once' now replaces Connection.on_request_received, which is where a request is queued: the same fault, found by the same model.

--- a/grebestack/drmaa/api.py
+++ b/grebestack/drmaa/api.py
@@ -27,7 +27,8 @@
 from grebestack.jobs.records import NO_DEADLINE, Batch, Job, JobError, JobState
 from grebestack.jobs.service import JobService
 from grebestack.routing.interfaces import Clock, Timer
-from grebestack.transport.server import Connection, HttpRequest
+from grebestack.transport.http_message import HttpRequest
+from grebestack.transport.server import Connection
 
 log = logging.getLogger(__name__)
 MAX_LISTED_JOBS = 1000
--- a/grebestack/program/client_listener.py
+++ b/grebestack/program/client_listener.py
@@ -10,7 +10,7 @@
 
 from grebestack.program.config.errors import StartError
 from grebestack.program.config.model import Config
-from grebestack.transport.server import SWEEP_INTERVAL_S, Acceptor
+from grebestack.transport.acceptor import SWEEP_INTERVAL_S, Acceptor
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024  # clients or workers' callbacks that connect at the same moment
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -40,8 +40,8 @@
 from grebestack.routing.engine import Engine
 from grebestack.routing.interfaces import Clock
 from grebestack.routing.worker_table import WorkerTable
+from grebestack.transport.acceptor import Acceptor
 from grebestack.transport.client import Address, ConnectionPools
-from grebestack.transport.server import Acceptor
 
 if TYPE_CHECKING:
     from grebestack.jobs.service import JobService
--- a/grebestack/program/hot_restart_adoption.py
+++ b/grebestack/program/hot_restart_adoption.py
@@ -17,7 +17,8 @@
     request_from_wire,
 )
 from grebestack.protocol.platform import HandedOverJob
-from grebestack.transport.server import Connection, HttpRequest
+from grebestack.transport.http_message import HttpRequest
+from grebestack.transport.server import Connection
 
 log = logging.getLogger(__name__)
 
--- a/grebestack/program/hot_restart_interface.py
+++ b/grebestack/program/hot_restart_interface.py
@@ -13,7 +13,7 @@
     from grebestack.protocol.platform import PlatformApi
     from grebestack.protocol.worker_list import WorkerListReader
     from grebestack.routing.engine import Engine
-    from grebestack.transport.server import Acceptor
+    from grebestack.transport.acceptor import Acceptor
 
 
 class RestartableDispatcher(admin_operations.Dispatcher, Protocol):
--- a/grebestack/program/hot_restart_wire.py
+++ b/grebestack/program/hot_restart_wire.py
@@ -13,7 +13,7 @@
 from grebestack.protocol.platform import HandedOverJob
 from grebestack.routing.requests import EndedAttempt, InFlightAttempt, Request, RequestHistory
 from grebestack.routing.worker_table import WorkerTable
-from grebestack.transport.server import HttpRequest
+from grebestack.transport.http_message import HttpRequest
 
 UNKNOWN_ADDRESS = ("", 0)  # of a worker that no list names any more: it can't be told to give up a job
 
--- a/grebestack/program/lifecycle_control.py
+++ b/grebestack/program/lifecycle_control.py
@@ -11,7 +11,7 @@
 from grebestack.program.lifecycle import KILL_DEADLINE_MS, LATE_MS, ClientHandling, Lifecycle, Stage
 from grebestack.protocol.platform import PlatformApi
 from grebestack.routing.engine import Engine
-from grebestack.transport.server import Acceptor, DrainScope
+from grebestack.transport.acceptor import Acceptor, DrainScope
 
 if TYPE_CHECKING:
     from grebestack.jobs.service import JobService
--- a/grebestack/program/traffic_log.py
+++ b/grebestack/program/traffic_log.py
@@ -10,8 +10,8 @@
 
 if TYPE_CHECKING:
     from grebestack.routing.engine import Engine
+    from grebestack.transport.acceptor import Acceptor
     from grebestack.transport.client import ConnectionPools
-    from grebestack.transport.server import Acceptor
 
 log = logging.getLogger(__name__)
 STATISTICS_INTERVAL_S = 5.0
--- a/grebestack/protocol/job_request.py
+++ b/grebestack/protocol/job_request.py
@@ -10,7 +10,7 @@
 
 from grebestack.core.api import Effect, Group, JobClass, Settings
 from grebestack.routing.requests import Payload
-from grebestack.transport.server import HttpRequest
+from grebestack.transport.http_message import HttpRequest
 
 is_plain = re.compile(rb"[!-~]{1,512}").fullmatch  # of a value that may be forwarded to a worker
 is_seconds = re.compile(rb"(?=[0-9.]*[1-9])[0-9]{1,9}(\.[0-9]{0,9})?|(?=\.0*[1-9])\.[0-9]{1,9}").fullmatch
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -13,7 +13,8 @@
 from grebestack.protocol.recent_call_ids import RecentCallIds
 from grebestack.routing.engine import Engine
 from grebestack.routing.requests import NO_HISTORY, Attempt, InFlightAttempt, Request, RequestHistory
-from grebestack.transport.server import Connection, HttpRequest
+from grebestack.transport.http_message import HttpRequest
+from grebestack.transport.server import Connection
 
 log = logging.getLogger(__name__)
 DEADLINE_MARGIN_MS = 5.0  # the client's time limit began before the last byte of its request arrived
@@ -211,7 +212,7 @@
 
     def _has_few_free_connections(self, connection: Connection) -> bool:
         """Whether less than the reserved share of the clients' connections is free."""
-        free = sum(other.is_client for other in connection.acceptor.idle)
+        free = sum(other.is_client for other in connection.acceptor.idle_connections)
         return (
             free < sum(other.is_client for other in connection.acceptor.connections) // CONNECTIONS_PER_SPARE
         )
--- /dev/null
+++ b/grebestack/transport/acceptor.py
@@ -0,0 +1,205 @@
+"""Makes the connections of clients, and limits how many there are and how much memory they hold."""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable
+from enum import Enum
+
+from grebestack.transport.end_reason import EndReason
+from grebestack.transport.server import READ_BUFFER_BYTES, Connection, Handler
+from grebestack.transport.turns import TurnScheduler
+
+log = logging.getLogger(__name__)
+DEFAULT_MAX_BODY_BYTES = 64 * 1024
+DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024
+REQUEST_TIMEOUT_S = 2.3  # for a complete request, from its first byte or the opening of its connection
+LINGER_TIMEOUT_S = 2.0  # for a client to close its side after the last response
+SWEEP_INTERVAL_S = 0.25
+
+
+class DrainScope(Enum):
+    """Which connections are drained: closed when idle, or with their next response."""
+
+    NONE = "none"
+    CLIENTS = "clients"  # those of clients; workers keep theirs for call-backs
+    ALL = "all"
+
+
+class Acceptor:
+    """Makes the protocol objects of new connections and limits how many there are.
+
+    Beyond the limit, the oldest connection that lingers after its last response is closed, else the oldest of
+    the larger group: of those that are idle, or of those that await a request. So many silent connections
+    displace each other, not the clients that are served.
+    """
+
+    def __init__(
+        self, handler: Handler, max_connections: int, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    ) -> None:
+        self.handler, self.max_connections, self.max_body_bytes = handler, max_connections, max_body_bytes
+        self.margin = max_connections // 8  # beyond the limit while all are busy: for call-backs, not jobs
+        self.connections: set[Connection] = set()
+        self.idle: OrderedDict[Connection, None] = OrderedDict()
+        self.awaiting_request: OrderedDict[Connection, float] = OrderedDict()  # since when
+        self.lingering: OrderedDict[Connection, float] = OrderedDict()  # since when
+        self.drain_scope = DrainScope.NONE
+        self.held_bytes = 0  # of memory, by all requests that are not responded to
+        self.ends: Counter[EndReason] = Counter()  # of connections, since the start
+        self.set_max_held_bytes(DEFAULT_MAX_HELD_BYTES)
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # each read is parsed before the next one
+        self.turns = TurnScheduler()
+        self.hand_over_idle: Callable[[Connection, bool], bool] | None = None  # see `hand_over`
+
+    def __call__(self) -> Connection:
+        return Connection(self)
+
+    def on_opened(self, connection: Connection) -> None:
+        """A connection has opened."""
+        self.connections.add(connection)
+        if len(self.connections) > self.max_connections:
+            group = self.awaiting_request if len(self.awaiting_request) > len(self.idle) else self.idle
+            lingering = next(
+                (c for c in self.lingering if c.lingering), None
+            )  # the others are closed already
+            if lingering is not None:
+                del self.lingering[lingering]
+                lingering.disconnect(EndReason.CONNECTION_LIMIT)
+            elif group:
+                next(iter(group)).evict(EndReason.CONNECTION_LIMIT)
+            else:
+                connection.over_limit = True
+                is_excess = len(self.connections) > self.max_connections + self.margin
+                # One with an adopted request is kept: it must be answered.
+                if is_excess and not connection.busy and connection.transport is not None:
+                    log.warning("frontend_dropped", extra={"kv": {"connections": len(self.connections)}})
+                    connection.disconnect(EndReason.CONNECTION_LIMIT)
+                    return
+        self.awaiting_request[connection] = time.monotonic()
+
+    def on_request_begun(self, connection: Connection) -> None:
+        """Part of a request has arrived."""
+        if connection not in self.awaiting_request:
+            self.idle.pop(connection, None)
+            self.awaiting_request[connection] = time.monotonic()
+
+    def on_lingering(self, connection: Connection) -> None:
+        """A connection has its last response, or needs none, and ends once the client has read it."""
+        self.awaiting_request.pop(connection, None)
+        self.idle.pop(connection, None)
+        self.lingering[connection] = time.monotonic()
+
+    @property
+    def idle_connections(self) -> Iterable[Connection]:
+        """Those that wait for their next request."""
+        return self.idle
+
+    def on_held_bytes_changed(self, change: int) -> None:
+        """The requests of a connection hold more memory, or less."""
+        self.held_bytes += change
+
+    @property
+    def is_memory_full(self) -> bool:
+        """Whether requests hold more memory than they may."""
+        return self.held_bytes > self.max_held_bytes
+
+    def limit_held_bytes(self, newest: Connection) -> None:
+        """Refuse the slowest incomplete requests while they hold too much; if there are none, the newest one.
+
+        Requests that are handled are answered in any case.
+        """
+        while self.is_memory_full:
+            slowest = next((c for c in self.awaiting_request if c.has_unhandled_request), None)
+            if slowest is None:
+                if newest.has_unhandled_request:
+                    newest.evict(EndReason.MEMORY_LIMIT)
+                return
+            del self.awaiting_request[slowest]
+            slowest.evict(EndReason.MEMORY_LIMIT)
+
+    def set_max_held_bytes(self, max_held_bytes: int) -> None:
+        """Set the limit; a request of the largest size always fits."""
+        self.max_held_bytes = max(max_held_bytes, 2 * self.max_body_bytes)
+
+    def sweep(self) -> None:
+        """End the connections whose timeout is over."""
+        now = time.monotonic()
+        for group, timeout_s in (
+            (self.awaiting_request, REQUEST_TIMEOUT_S),
+            (self.lingering, LINGER_TIMEOUT_S),
+        ):
+            while group and next(iter(group.values())) < now - timeout_s:
+                connection, _ = group.popitem(last=False)
+                if group is self.awaiting_request:
+                    connection.on_request_timeout()
+                else:
+                    connection.disconnect(EndReason.LINGER_TIMEOUT)
+
+    def on_busy(self, connection: Connection) -> None:
+        """A connection has a request to be handled."""
+        self.idle.pop(connection, None)
+        self.awaiting_request.pop(connection, None)
+
+    def on_idle(self, connection: Connection) -> None:
+        """A connection waits for its next request."""
+        if self.hand_over_idle is None or not self.hand_over_idle(connection, True):
+            self.idle[connection] = None
+
+    def on_closed(self, connection: Connection) -> None:
+        """A connection has ended."""
+        self.connections.discard(connection)
+        for group in (self.idle, self.awaiting_request, self.lingering):
+            group.pop(connection, None)
+        if connection.end_reason is not None:
+            self.ends[connection.end_reason] += 1
+
+    def adopt(self, is_client: bool, idle: bool) -> Connection:
+        """A connection that another process hands over; `idle`: between two requests."""
+        connection = Connection(self)
+        connection.adopted_idle, connection.is_client = idle, is_client
+        return connection
+
+    def set_max_connections(self, max_connections: int) -> None:
+        """Set the limit; idle connections beyond it are closed as others open."""
+        self.max_connections, self.margin = max_connections, max_connections // 8
+
+    def has_unfinished_requests(self, max_wait_s: float = math.inf) -> bool:
+        """Whether a request is incomplete or not responded to, or a client has not read its last response.
+
+        Incomplete requests and unread responses older than `max_wait_s` don't count.
+        """
+        since = time.monotonic() - max_wait_s
+        started = {c: at for c, at in self.awaiting_request.items() if c.request_begun} | self.lingering
+        return any(c.busy for c in self.connections) or any(at > since for at in started.values())
+
+    def hand_over(self, hand_over_idle: Callable[[Connection, bool], bool]) -> None:
+        """Offer each connection without a request to a callback, now and whenever one becomes idle.
+
+        The callback returns whether it has taken the connection over; its second argument tells whether that
+        is idle or has had no request yet. Incomplete requests are handled here first.
+        """
+        self.hand_over_idle = hand_over_idle
+        for connection in [*self.idle, *self.awaiting_request]:
+            if hand_over_idle(connection, connection in self.idle):
+                self.on_busy(connection)
+
+    def drain(self, scope: DrainScope) -> None:
+        """Drain these connections from now on, and no others.
+
+        Idle ones are closed now, the others with their next response; an incomplete request is awaited.
+        """
+        if self.drain_scope is scope:
+            return
+        self.drain_scope = scope
+        for connection in [*self.idle, *self.awaiting_request]:
+            if not connection.request_begun and self.is_draining(connection):
+                connection.close()
+
+    def is_draining(self, connection: Connection) -> bool:
+        """Whether a connection ends with its next response."""
+        return self.drain_scope is DrainScope.ALL or (
+            self.drain_scope is DrainScope.CLIENTS and connection.is_client
+        )
--- /dev/null
+++ b/grebestack/transport/request_parser.py
@@ -0,0 +1,150 @@
+"""Parses the requests of one client connection, and refuses those that break the protocol or a limit."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import httptools
+
+from grebestack.transport.end_reason import EndReason
+from grebestack.transport.http_message import HttpRequest
+
+MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADER_FIELDS = 100
+HEADER_FIELD_OVERHEAD_BYTES = 150  # of memory, beside the name and the value
+SINGLE_HEADERS = frozenset(  # rejected if repeated: it would be open which one counts
+    b"content-length transfer-encoding x-call-id x-call-class x-budget x-call-info x-call-cost x-caller "
+    b"idempotency-key".split()
+)
+
+
+class HeadTooLargeError(Exception):
+    """Ends the parsing of a head; the parser reports it as its own error."""
+
+
+class ParserOwner(Protocol):
+    """What a parser tells of the requests that it reads."""
+
+    def on_request_received(self, request: HttpRequest) -> None:
+        """A request is complete."""
+
+    def on_continue_expected(self) -> None:
+        """The client waits for an interim response before it sends the body."""
+
+
+class RequestParser:
+    """Reads one request after the other; `refusal` is set once the rest can't be read.
+
+    `held_bytes` is the memory of the request that is being read.
+    """
+
+    def __init__(self, owner: ParserOwner, max_body_bytes: int) -> None:
+        """Expect the first request."""
+        self.owner, self.max_body_bytes = owner, max_body_bytes
+        self.parser = httptools.HttpRequestParser(self)
+        self.refusal: EndReason | None = None
+        self.completed_requests = 0
+        self.incomplete_bytes = 0  # received since the parser last reported a complete part of head or body
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget the request that is being read."""
+        self.request = HttpRequest()
+        self.body_parts: list[bytes] = []
+        self.body_bytes = self.head_bytes = self.header_fields = self.held_bytes = 0
+        self.head_complete = False  # headers that follow are trailers
+        self.request_begun = False  # part of a request has arrived, and not all of it
+
+    def forget(self) -> None:
+        """Give back the memory of the request that is being read, which will not be handled."""
+        self.request, self.body_parts, self.held_bytes = HttpRequest(), [], 0
+
+    def feed(self, data: memoryview) -> None:
+        """Parse what has been received; `refusal` tells whether the rest can't be read."""
+        completed, body_bytes, head_complete = self.completed_requests, self.body_bytes, self.head_complete
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self.refusal = self.refusal or EndReason.MALFORMED
+        if (
+            self.request_begun
+            and completed == self.completed_requests
+            and (not self.head_complete or (head_complete and body_bytes == self.body_bytes))
+        ):
+            # The parser buffers a line of the head or the trailers until it is complete, and makes no
+            # callback meanwhile: without this limit, an endless line would fill the memory.
+            self.incomplete_bytes += len(data)
+            if self.incomplete_bytes > MAX_HEAD_BYTES:
+                self.refusal = self.refusal or EndReason.HEAD_TOO_LARGE
+
+    # Called by httptools.
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self.reset()
+        self.request_begun = True
+
+    def on_url(self, url: bytes) -> None:
+        """Part of the target has arrived."""
+        self._count_head(len(url))
+        self.request.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A field of the head or the trailers is complete."""
+        if self.head_complete:
+            return
+        self.header_fields += 1
+        self._count_head(len(name) + len(value), HEADER_FIELD_OVERHEAD_BYTES)
+        # Blanks after a value are allowed and are no part of it, and the parser keeps them.
+        name, value = name.lower(), value.strip(b" \t")
+        if self.refusal is not None:
+            return
+        if name in SINGLE_HEADERS and name in self.request.headers:
+            self.refusal = EndReason.MALFORMED
+        self.request.headers[name] = value
+
+    def _count_head(self, size: int, overhead: int = 0) -> None:
+        self.head_bytes += size
+        self.held_bytes += size + overhead
+        if self.head_bytes > MAX_HEAD_BYTES or self.header_fields > MAX_HEADER_FIELDS:
+            self.refusal = EndReason.HEAD_TOO_LARGE
+            raise HeadTooLargeError
+
+    def on_headers_complete(self) -> None:
+        """The head is complete."""
+        headers = self.request.headers
+        self.head_complete, self.incomplete_bytes = True, 0
+        length, coding = headers.get(b"content-length", b"0"), headers.get(b"transfer-encoding", b"chunked")
+        # An ambiguous length would allow request smuggling: a request hidden in the body of another.
+        malformed = not length.isdigit() or coding.lower() != b"chunked" or self.parser.should_upgrade()
+        if malformed or (b"content-length" in headers and b"transfer-encoding" in headers):
+            self.refusal = EndReason.MALFORMED
+        elif len(length) > 18 or int(length) > self.max_body_bytes:
+            self.refusal = EndReason.BODY_TOO_LARGE
+        elif headers.get(b"expect", b"").lower() == b"100-continue":
+            self.owner.on_continue_expected()
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body has arrived."""
+        self.body_bytes += len(body)
+        self.incomplete_bytes = 0
+        if self.body_bytes > self.max_body_bytes:
+            self.refusal = EndReason.BODY_TOO_LARGE
+            self.body_parts.clear()
+        elif self.refusal is None:
+            self.held_bytes += len(body)
+            self.body_parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """The request is complete."""
+        self.request_begun = self.head_complete = False
+        self.completed_requests += 1
+        if self.refusal is not None:
+            return
+        request = self.request
+        request.method = self.parser.get_method()
+        request.keep_alive = self.parser.should_keep_alive()
+        request.body = b"".join(self.body_parts)
+        request.held_bytes = self.held_bytes
+        self.forget()
+        self.owner.on_request_received(request)
--- a/tests/golden_handover.py
+++ b/tests/golden_handover.py
@@ -23,7 +23,7 @@
 from grebestack.protocol.platform import PlatformResponder
 from grebestack.routing.requests import Attempt, InFlightAttempt, Payload, Request
 from grebestack.routing.worker_table import WorkerTable
-from grebestack.transport.server import HttpRequest
+from grebestack.transport.http_message import HttpRequest
 from tests.golden_samples import WORKER
 from tests.policy_driver import BASE
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -19,6 +19,8 @@
 )
 
 from grebestack.transport import client, server
+from grebestack.transport.acceptor import Acceptor, DrainScope
+from grebestack.transport.http_message import HttpRequest
 
 
 class FakeTransport:
@@ -76,7 +78,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.acceptor = server.Acceptor(self, max_connections=8)
+        self.acceptor = Acceptor(self, max_connections=8)
         self.transport = FakeTransport(self.acceptor())
         self.connection = cast(server.Connection, self.transport.protocol)
         self.to_send = b""  # written by the client and not yet received
@@ -84,7 +86,7 @@
         self.response_due = False
         self.is_malformed = False
 
-    def on_request(self, connection: server.Connection, request: server.HttpRequest) -> None:
+    def on_request(self, connection: server.Connection, request: HttpRequest) -> None:
         assert not self.response_due, "two requests at once"
         assert request.target == b"/%d" % self.handled and request.body == b"x" * (self.handled % 7)
         self.handled += 1
@@ -153,8 +155,8 @@
         self.transport.disconnect()
         assert not self.response_due
 
-    @rule(scope=st.sampled_from(server.DrainScope), becomes_client=st.booleans())
-    def drain(self, scope: server.DrainScope, becomes_client: bool) -> None:
+    @rule(scope=st.sampled_from(DrainScope), becomes_client=st.booleans())
+    def drain(self, scope: DrainScope, becomes_client: bool) -> None:
         # A drain can begin, widen or end at any moment.
         # A connection is found to be a client's with a request, so never while it is idle.
         self.connection.is_client = self.connection.is_client or (becomes_client and self.response_due)
@@ -375,7 +377,7 @@
 class SilentHandler:
     """A handler that never responds."""
 
-    def on_request(self, connection: server.Connection, request: server.HttpRequest) -> None:
+    def on_request(self, connection: server.Connection, request: HttpRequest) -> None:
         pass
 
     def on_disconnect(self, connection: server.Connection) -> None:
@@ -383,7 +385,7 @@
 
 
 def test_beyond_the_limit_idle_connections_are_closed_first_and_then_new_ones_refused() -> None:
-    acceptor = server.Acceptor(SilentHandler(), max_connections=8)
+    acceptor = Acceptor(SilentHandler(), max_connections=8)
 
     def busy() -> FakeTransport:
         transport = FakeTransport(acceptor())
@@ -540,7 +542,7 @@
     assert exchange.ends == ["response lost"] and transport.closed
 
 
-def transport_with(acceptor: server.Acceptor, data: bytes) -> FakeTransport:
+def transport_with(acceptor: Acceptor, data: bytes) -> FakeTransport:
     transport = FakeTransport(acceptor())
     transport.protocol.data_received(data)
     return transport
@@ -549,24 +551,24 @@
 def test_ambiguous_malformed_and_endless_requests_are_refused_at_once() -> None:
     # Guards against request smuggling: none of these may reach the handler.
     class Handler(SilentHandler):
-        def on_request(self, connection: server.Connection, request: server.HttpRequest) -> None:
+        def on_request(self, connection: server.Connection, request: HttpRequest) -> None:
             raise AssertionError("handled")
 
     for data in MALFORMED[:-1]:
-        transport = transport_with(server.Acceptor(Handler(), max_connections=8), data)
+        transport = transport_with(Acceptor(Handler(), max_connections=8), data)
         assert transport.write_closed and transport.written.startswith(b"HTTP/1.1 4"), data[:60]
 
 
 def test_trailers_change_nothing() -> None:
-    got: list[server.HttpRequest] = []
+    got: list[HttpRequest] = []
 
     class Handler(SilentHandler):
-        def on_request(self, connection: server.Connection, request: server.HttpRequest) -> None:
+        def on_request(self, connection: server.Connection, request: HttpRequest) -> None:
             got.append(request)
 
     head = b"POST / HTTP/1.1\r\nX-Call-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
     transport_with(
-        server.Acceptor(Handler(), max_connections=8),
+        Acceptor(Handler(), max_connections=8),
         head + b"1\r\nx\r\n0\r\nX-Call-Id: b\r\nX-Other: c\r\n\r\n",
     )
     assert [(r.body, r.headers[b"x-call-id"], b"x-other" in r.headers) for r in got] == [(b"x", b"a", False)]
@@ -575,7 +577,7 @@
 def test_a_trailer_that_never_ends_is_refused() -> None:
     # Guards memory: the parser buffers a line until it is complete.
     head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Endless: "
-    transport = transport_with(server.Acceptor(SilentHandler(), max_connections=8), head)
+    transport = transport_with(Acceptor(SilentHandler(), max_connections=8), head)
     for _ in range(20):
         transport.protocol.data_received(b"x" * 1024)
     assert transport.write_closed and transport.written.startswith(b"HTTP/1.1 431") and not transport.closed
@@ -585,7 +587,7 @@
 
 
 def test_many_silent_connections_displace_each_other_and_not_served_clients() -> None:
-    acceptor = server.Acceptor(SilentHandler(), max_connections=20)
+    acceptor = Acceptor(SilentHandler(), max_connections=20)
     kept = [transport_with(acceptor, b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n") for _ in range(8)]
     for transport in kept:
         cast(server.Connection, transport.protocol).respond(200)
@@ -596,10 +598,10 @@
 
 def test_an_exception_in_the_handler_is_answered_with_status_500() -> None:
     class Handler(SilentHandler):
-        def on_request(self, connection: server.Connection, request: server.HttpRequest) -> None:
+        def on_request(self, connection: server.Connection, request: HttpRequest) -> None:
             raise RuntimeError("a fault")
 
-    transport = transport_with(server.Acceptor(Handler(), max_connections=8), b"GET / HTTP/1.1\r\n\r\n")
+    transport = transport_with(Acceptor(Handler(), max_connections=8), b"GET / HTTP/1.1\r\n\r\n")
     assert transport.written.startswith(b"HTTP/1.1 500")
 
 
@@ -623,9 +625,9 @@
     """Records requests and responds to each at once."""
 
     def __init__(self) -> None:
-        self.requests: list[server.HttpRequest] = []
+        self.requests: list[HttpRequest] = []
 
-    def on_request(self, connection: server.Connection, request: server.HttpRequest) -> None:
+    def on_request(self, connection: server.Connection, request: HttpRequest) -> None:
         self.requests.append(request)
         connection.respond(200)
 
@@ -638,7 +640,7 @@
     data = b"POST /api HTTP/1.1\r\nX-Call-Class:\t order \t\r\nContent-Length: 2 \r\n\r\nhi"
     for size in (1, 3, len(data)):
         handler = RecordingHandler()
-        transport = FakeTransport(server.Acceptor(handler, max_connections=8)())
+        transport = FakeTransport(Acceptor(handler, max_connections=8)())
         for at in range(0, len(data), size):
             transport.protocol.data_received(data[at : at + size])
         (got,) = handler.requests
@@ -684,15 +686,14 @@
         monkeypatch.setattr(server.Connection, "respond", respond_twice)
     elif fault == "handles two requests at once":
 
-        def handle_at_once(self: server.Connection) -> None:
-            self.request_begun = self.head_complete = False
+        def handle_at_once(self: server.Connection, request: HttpRequest) -> None:
             self.busy = True
             self.acceptor.on_busy(self)
-            self.acceptor.handler.on_request(self, self.request)
+            self.acceptor.handler.on_request(self, request)
 
-        monkeypatch.setattr(server.Connection, "on_message_complete", handle_at_once)
+        monkeypatch.setattr(server.Connection, "on_request_received", handle_at_once)
     else:
-        monkeypatch.setattr(server.Acceptor, "on_lingering", lambda self, connection: None)
+        monkeypatch.setattr(Acceptor, "on_lingering", lambda self, connection: None)
     with pytest.raises((AssertionError, ExceptionGroup)):
         run_state_machine_as_test(ServerConnectionModel, settings=FIND_FAULT)
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -13,6 +13,9 @@
 
 from grebestack.protocol import recent_call_ids
 from grebestack.transport import server, turns
+from grebestack.transport.acceptor import Acceptor
+from grebestack.transport.http_message import HttpRequest
+from grebestack.transport.request_parser import MAX_HEADER_FIELDS
 from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher
 from tests.process_memory import memory_mb
 from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed
@@ -41,26 +44,26 @@
 @pytest.mark.parametrize("line", [b"%d:\r\n", b"x%d: and more\r\n"])
 def test_a_head_of_very_many_short_fields_is_refused(line: bytes) -> None:
     # Guards memory: a field takes far more than its bytes.
-    acceptor = server.Acceptor(SilentHandler(), max_connections=8)
+    acceptor = Acceptor(SilentHandler(), max_connections=8)
     transport = FakeTransport(acceptor())
     head = b"POST / HTTP/1.1\r\n" + b"".join(line % number for number in range(3000))
     for at in range(0, len(head), 1000):
         transport.protocol.data_received(head[at : at + 1000])
     assert transport.written.startswith(b"HTTP/1.1 431") and transport.write_closed
-    assert acceptor.held_bytes == 0 and len(connection_of(transport).request.headers) == 0
+    assert acceptor.held_bytes == 0 and len(connection_of(transport).parser.request.headers) == 0
 
 
 def test_a_head_of_as_many_fields_as_are_allowed_is_handled() -> None:
     handler = RecordingHandler()
-    fields = b"".join(b"x%d: 1\r\n" % number for number in range(server.MAX_HEADER_FIELDS))
-    transport = FakeTransport(server.Acceptor(handler, max_connections=8)())
+    fields = b"".join(b"x%d: 1\r\n" % number for number in range(MAX_HEADER_FIELDS))
+    transport = FakeTransport(Acceptor(handler, max_connections=8)())
     transport.protocol.data_received(b"GET / HTTP/1.1\r\n" + fields + b"\r\n")
     assert len(handler.requests) == 1 and transport.written.startswith(b"HTTP/1.1 200")
 
 
 def test_incomplete_requests_hold_no_more_memory_than_allowed() -> None:
     # Guards memory: many connections, each within its own limits, together fill it. The slowest are refused.
-    acceptor = server.Acceptor(SilentHandler(), max_connections=100)
+    acceptor = Acceptor(SilentHandler(), max_connections=100)
     acceptor.set_max_held_bytes(1_000_000)
     transports = []
     for _ in range(40):
@@ -76,7 +79,7 @@
 
 def test_requests_behind_one_that_is_handled_count_as_held_memory() -> None:
     # Guards memory, and against a 503 for the request that is handled: it may have run.
-    acceptor = server.Acceptor(SilentHandler(), max_connections=100)
+    acceptor = Acceptor(SilentHandler(), max_connections=100)
     acceptor.set_max_held_bytes(200_000)
     transport = FakeTransport(acceptor())
     transport.protocol.data_received(half_request(60_000) + b"x")
@@ -157,7 +160,7 @@
         answered: list[bytes] = []
         on_request = dispatcher.api.on_request
 
-        def record(connection: server.Connection, request: server.HttpRequest) -> None:
+        def record(connection: server.Connection, request: HttpRequest) -> None:
             answered.append(request.target)
             on_request(connection, request)
 
@@ -183,7 +186,7 @@
         answered: list[int] = []
         on_request = dispatcher.api.on_request
 
-        def record(connection: server.Connection, request: server.HttpRequest) -> None:
+        def record(connection: server.Connection, request: HttpRequest) -> None:
             answered.append(1)
             on_request(connection, request)
 
--- a/tests/test_hard_peers.py
+++ b/tests/test_hard_peers.py
@@ -13,6 +13,7 @@
 from grebestack.endpoint_watch.state_machine import WatchRequest
 from grebestack.protocol import discovery, worker_list
 from grebestack.transport import client, server
+from grebestack.transport.acceptor import LINGER_TIMEOUT_S, REQUEST_TIMEOUT_S, Acceptor
 from tests.test_connections import FakeTransport, RecordingHandler
 
 
@@ -134,7 +135,7 @@
 
 def test_a_client_that_disconnects_while_its_response_is_written_is_forgotten() -> None:
     handler = RecordingHandler()
-    acceptor = server.Acceptor(handler, max_connections=8)
+    acceptor = Acceptor(handler, max_connections=8)
     transport = FakeTransport(acceptor())
     transport.protocol.data_received(b"POST /1 HTTP/1.1\r\n\r\n")
     cast(server.Connection, transport.protocol).pause_writing()  # the client does not read
@@ -147,12 +148,12 @@
 
 
 def test_a_client_that_stops_within_a_body_is_answered_408() -> None:
-    acceptor = server.Acceptor(RecordingHandler(), max_connections=8)
+    acceptor = Acceptor(RecordingHandler(), max_connections=8)
     transport = FakeTransport(acceptor())
     transport.protocol.data_received(b"POST /1 HTTP/1.1\r\nContent-Length: 9\r\n\r\nhal")
-    acceptor.awaiting_request[cast(server.Connection, transport.protocol)] -= server.REQUEST_TIMEOUT_S
+    acceptor.awaiting_request[cast(server.Connection, transport.protocol)] -= REQUEST_TIMEOUT_S
     acceptor.sweep()
     assert transport.written.startswith(b"HTTP/1.1 408") and transport.write_closed
-    acceptor.lingering[cast(server.Connection, transport.protocol)] -= server.LINGER_TIMEOUT_S
+    acceptor.lingering[cast(server.Connection, transport.protocol)] -= LINGER_TIMEOUT_S
     acceptor.sweep()
     assert transport.closed
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -23,7 +23,7 @@
 from grebestack.hot_restart import cordon_file, framing, state_machine
 from grebestack.program.hot_restart_wire import queued_request_to_wire, request_history
 from grebestack.routing.requests import Attempt, EndedAttempt, Payload, Request, RequestHistory
-from grebestack.transport.server import HttpRequest
+from grebestack.transport.http_message import HttpRequest
 from tests.policy_driver import IDEMPOTENT, IDEMPOTENT_WITH_KEY, NOT_IDEMPOTENT, settings
 from tests.standins import (
     SETTINGS,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 from grebestack.protocol.settings import parse_settings
 from grebestack.routing.engine import Engine
 from grebestack.transport import server
+from grebestack.transport.acceptor import Acceptor
 from tests.standins import SETTINGS
 from tests.test_connections import FakeTransport
 
@@ -43,7 +44,7 @@
     """Send one job with these headers; return the arguments that the engine gets for it."""
     engine = AcceptingEngine()
     api = PlatformApi(cast(Engine, engine), parse_settings(options), lambda body: CallbackResult.ACCEPTED)
-    send_job(FakeTransport(server.Acceptor(api, max_connections=64)()), "a", **headers)
+    send_job(FakeTransport(Acceptor(api, max_connections=64)()), "a", **headers)
     return engine.arguments["a"]
 
 
@@ -68,7 +69,7 @@
     for name, first, second in (("X-Caller", "electric", "water"), ("X-Call-Cost", "1", "2000")):
         engine = AcceptingEngine()
         api = PlatformApi(cast(Engine, engine), parse_settings(TENANTS), lambda body: CallbackResult.ACCEPTED)
-        wire = FakeTransport(server.Acceptor(api, max_connections=64)())
+        wire = FakeTransport(Acceptor(api, max_connections=64)())
         send_job(wire, "a", **{name: f"{first}\r\n{name}: {second}"})
         assert b"400" in wire.written and not engine.accepted
 
@@ -87,7 +88,7 @@
     # Guards against a job that occupies the last free connection, as clients can't open new ones here.
     engine = AcceptingEngine()
     api = PlatformApi(cast(Engine, engine), parse_settings(SETTINGS), lambda body: CallbackResult.ACCEPTED)
-    acceptor = server.Acceptor(api, max_connections=64)
+    acceptor = Acceptor(api, max_connections=64)
     wires = [FakeTransport(acceptor()) for _ in range(24)]
     for n, wire in enumerate(wires):
         send_job(wire, f"a{n}")
@@ -103,7 +104,7 @@
 def test_during_a_stop_a_single_client_is_still_served() -> None:
     engine = AcceptingEngine()
     api = PlatformApi(cast(Engine, engine), parse_settings(SETTINGS), lambda body: CallbackResult.ACCEPTED)
-    wire = FakeTransport(server.Acceptor(api, max_connections=64)())
+    wire = FakeTransport(Acceptor(api, max_connections=64)())
     api.stopping = True
     send_job(wire, "a")
     assert engine.accepted == ["a"]
