Log the memory of the process, and the reason of each refusal and end of a connection

Cause: the operators' records tell neither the memory of a process nor why connections were refused, evicted or closed. Ruled out: a line for each connection (a flood would fill the log): refusals have 20 lines a second at most, ends are counted by reason.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -30,6 +30,8 @@
 from grebestack.program.lifecycle_control import LifecycleControl
 from grebestack.program.loop_clock import LoopClock
 from grebestack.program.loop_monitor import LoopMonitor
+from grebestack.program.memory_log import MemoryLog
+from grebestack.program.process_memory import ProcessMemory
 from grebestack.program.traffic_log import TrafficLog
 from grebestack.program.worker_sources import WorkerSources
 from grebestack.protocol.discovery import DiscoveryWatcher
@@ -96,6 +98,9 @@
         self.reloader = ConfigReloader(self)
         self.lifecycle_control = LifecycleControl(self)
         self.loop_monitor = LoopMonitor(loop)
+        # On the platform the folder is private and counts as memory; elsewhere it is everybody's.
+        self.memory = ProcessMemory(None if config.path else os.environ.get("TMPDIR"))
+        self.memory_log = MemoryLog(loop, self.memory, self.acceptor)
         self.traffic_log = TrafficLog(loop, self.engine, self.pools, self.acceptor, self._count_list_requests)
 
     def _build_membership_adapter(self) -> MembershipAdapter | None:
@@ -183,6 +188,7 @@
         self._wait_for_list(time.monotonic() + _LIST_TIMEOUT_S)
         self.traffic_log.start()
         self.loop_monitor.start()
+        self.memory_log.start()
         sweep_periodically(self.loop, self.acceptor)
         gc.collect()
         gc.freeze()
--- a/grebestack/program/traffic_log.py
+++ b/grebestack/program/traffic_log.py
@@ -85,5 +85,6 @@
             "not_up": self.pools.connects_failed,
             "list_calls": self.count_list_requests(),
         }
+        counts |= {f"ended_{reason.value}": count for reason, count in self.acceptor.ends.items()}
         if kv := self.traffic_counts.pairs(counts, sent, in_flight):
             log.info("tally", extra={"kv": kv})
--- a/grebestack/protocol/platform.py
+++ b/grebestack/protocol/platform.py
@@ -144,11 +144,13 @@
             connection.disconnect()
             return
         if connection.is_overloaded or self.rejecting:
+            self.engine.counts["refused_rejecting" if self.rejecting else "refused_overload"] += 1
             self.reject(connection, self.max_retry_after_ms)
             return
         # During a planned stop clients can't open new connections. A job on the last free one would leave the
         # jobs behind it without a connection for its whole run, so it is rejected; it may be sent again.
         if self.stopping and self._has_few_free_connections(connection):
+            self.engine.counts["refused_stopping"] += 1
             self.reject(connection, None if self.max_retry_after_ms is None else STOPPING_RETRY_AFTER_MS)
             return
         if job.call_id in self.ended_ids or self.is_open_elsewhere(job.call_id):
--- a/grebestack/transport/acceptor.py
+++ b/grebestack/transport/acceptor.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from grebestack.transport.end_reason import EndReason
+from grebestack.transport.refusal_log import RefusalLog
 from grebestack.transport.server import READ_BUFFER_BYTES, Connection, Handler
 from grebestack.transport.turns import TurnScheduler
 
@@ -49,6 +50,7 @@
         self.drain_scope = DrainScope.NONE
         self.held_bytes = 0  # of memory, by all requests that are not responded to
         self.ends: Counter[EndReason] = Counter()  # of connections, since the start
+        self.refusal_log = RefusalLog()
         self.set_max_held_bytes(DEFAULT_MAX_HELD_BYTES)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # each read is parsed before the next one
         self.turns = TurnScheduler()
@@ -92,6 +94,10 @@
         self.idle.pop(connection, None)
         self.lingering[connection] = time.monotonic()
 
+    def on_refused(self, reason: EndReason, status: int, call_id: bytes, held_bytes: int) -> None:
+        """A request is refused that has not been handled."""
+        self.refusal_log.record(reason, status, call_id, held_bytes)
+
     @property
     def idle_connections(self) -> Iterable[Connection]:
         """Those that wait for their next request."""
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -5,13 +5,13 @@
 import asyncio
 import logging
 import os
-import select
 from collections import deque
 from collections.abc import Iterable
 from typing import Any, Protocol, cast
 
 from grebestack.transport.end_reason import REFUSAL_STATUS, EndReason
 from grebestack.transport.http_message import HttpRequest, encode_response
+from grebestack.transport.peer_state import has_peer_closed
 from grebestack.transport.request_parser import RequestParser
 from grebestack.transport.turns import TurnScheduler
 
@@ -78,6 +78,9 @@
     def is_draining(self, connection: Connection) -> bool:
         """Whether a connection ends with its next response."""
 
+    def on_refused(self, reason: EndReason, status: int, call_id: bytes, held_bytes: int) -> None:
+        """A request is refused that has not been handled."""
+
 
 class Connection(asyncio.BufferedProtocol):
     """One client's connection.
@@ -126,11 +129,7 @@
 
     def has_peer_closed(self) -> bool:
         """Whether the client has closed its side, also if that is not read yet behind other data."""
-        if self.transport is None or (sock := self.transport.get_extra_info("socket")) is None:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return self.transport is not None and has_peer_closed(self.transport)
 
     # asyncio's callbacks.
 
@@ -283,6 +282,9 @@
     def _refuse(self, reason: EndReason, status: int | None = None) -> None:
         self.refusal_status = status or REFUSAL_STATUS[reason]
         self.end_reason = self.end_reason or reason
+        request = self.queued[0] if self.queued else self.parser.request
+        call_id = request.headers.get(b"x-call-id", b"")
+        self.acceptor.on_refused(reason, self.refusal_status, call_id, self.held_bytes - self.current_bytes)
         self._refuse_now()
 
     def _refuse_now(self) -> None:
