Read responses of workers and lines of discovery into one block of memory as well

Cause: the same mistake as in the server, elsewhere: transport/client.py kept an object for each piece of a response and of a line. Ruled out: that the bounds on received bytes (max_body_bytes and 64 KiB; 4 MiB for a line) suffice: they count bytes, not objects. Change: BodyBuffer in Connection and LineStream; a body over its limit is aborted after each read and when it is complete.

--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -12,6 +12,8 @@
 
 import httptools
 
+from grebestack.transport.body_buffer import BodyBuffer
+
 log = logging.getLogger(__name__)
 DEFAULT_MAX_BODY_BYTES = 256 * 1024  # of a response
 MAX_HEAD_BYTES = 64 * 1024  # of all that a response holds besides its body
@@ -98,12 +100,12 @@
         self.exchange = exchange
         self.started_at = time.monotonic()
         self.idle_before_s = self.started_at - self.idle_since if self.idle_since else None
-        self.parser = httptools.HttpResponseParser(self)
-        self.response, self.body_bytes = Response(), 0
-        self.body_parts: list[bytes] = []
+        self.response, self.body = Response(), BodyBuffer()
         self.head_complete = self.complete = self.keep_alive = self.response_begun = self.has_excess = False
         self.received_bytes = 0  # of the response, headers and body
         self.header_fields = 0  # of all its heads, interim responses included
+        self.on_body = self.body.append  # called by httptools for each piece
+        self.parser = httptools.HttpResponseParser(self)
         if exchange.delays_last_byte:
             data, self.delayed_byte = data[:-1], data[-1:]
             self.delayed_byte_timer = self.pool.pools.loop.call_later(
@@ -150,12 +152,13 @@
                 self.abort()
                 return
             self.has_excess = True  # malformed data after a complete response
+        if not self.complete and self._is_body_too_long():
+            self.abort()
         if self.complete and self.exchange is not None:  # None: an overlong body has aborted the exchange
             # Detached before the connection becomes available, which may start the next exchange at once.
             response = self.response
             exchange, _ = self.detach_exchange()
             assert exchange is not None
-            response.body = b"".join(self.body_parts)
             if self.keep_alive and not self.has_excess:
                 self.reusable_at = time.monotonic() + REUSE_DELAY_S
                 self.pool.on_available(self)
@@ -163,6 +166,9 @@
                 self.abort()
             exchange.on_response(response)
 
+    def _is_body_too_long(self) -> bool:
+        return len(self.body) > self.pool.pools.max_body_bytes
+
     # The parser's callbacks. If two responses to one request arrive together, the second one is ignored.
 
     def on_message_begin(self) -> None:
@@ -180,22 +186,16 @@
             self.response.status = self.parser.get_status_code()
             self.head_complete = self.response.status >= 200
 
-    def on_body(self, body: bytes) -> None:
-        if self.complete:
-            return
-        self.body_bytes += len(body)
-        if self.body_bytes <= self.pool.pools.max_body_bytes:
-            self.body_parts.append(body)
-        else:
-            self.abort()
-
     def on_message_complete(self) -> None:
         if self.complete:
             return
-        if self.response.status < 200:  # an interim response
+        if self._is_body_too_long():
+            self.abort()
+        elif self.response.status < 200:  # an interim response
             self.response = Response()
         else:
             self.complete, self.keep_alive = True, self.parser.should_keep_alive()
+            self.response.body = self.body.take()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -209,7 +209,7 @@
         if not_sent:
             exchange.on_not_sent()
         elif exc is None and self.head_complete and not LENGTH_HEADERS & self.response.headers.keys():
-            self.response.body = b"".join(self.body_parts)  # a body without a length ends with the connection
+            self.response.body = self.body.take()  # a body without a length ends with the connection
             exchange.on_response(self.response)
         else:
             exchange.on_response_lost()
@@ -464,7 +464,7 @@
     ) -> None:
         self.request, self.on_line, self.on_ended = request, on_line, on_ended
         self.parser = httptools.HttpResponseParser(self)
-        self.line_parts: list[bytes] = []  # of the incomplete line
+        self.line = BodyBuffer()  # the incomplete one
         self.pending_bytes = 0  # received since the last complete line
         self.transport: asyncio.Transport | None = None
 
@@ -487,10 +487,13 @@
             self.close()
             return
         if b"\n" not in body:  # joining each small piece of a long line at once would take quadratic time
-            self.line_parts.append(body)
+            self.line.append(body)
             return
-        *lines, rest = (b"".join(self.line_parts) + body).split(b"\n")
-        self.line_parts, self.pending_bytes = [rest], len(rest)
+        first, *lines, rest = body.split(b"\n")
+        self.line.append(first)
+        lines.insert(0, self.line.take())
+        self.line.append(rest)
+        self.pending_bytes = len(rest)
         for line in lines:
             self.on_line(line)
 
