Count the unfinished line in the parser and what is read but not parsed yet as held memory

Cause: the bytes of a field, target, trailer or chunk extension that has not ended lie in the parser, and up to 16 KiB that wait for a later turn of the loop lie in Connection.unparsed; neither was counted. Ruled out: that they alone pass a limit (18 KB a connection, by a trace): what was wrong is the sum that the acceptor bounds. Change: RequestParser.held_bytes and Connection._count_held_bytes include both; trailers of one request don't count for the next.

--- a/grebestack/transport/request_parser.py
+++ b/grebestack/transport/request_parser.py
@@ -52,8 +52,9 @@
 
     @property
     def held_bytes(self) -> int:
-        """The memory of the request that is being read."""
-        return self.held_head_bytes + self.body.held_bytes
+        """The memory of the request that is being read, with its unfinished line in the parser."""
+        line_bytes = self.incomplete_bytes if self.head_complete else self.incomplete_bytes - self.head_bytes
+        return self.held_head_bytes + self.body.held_bytes + max(0, line_bytes)
 
     def reset(self) -> None:
         """Forget the request that is being read."""
@@ -65,7 +66,8 @@
 
     def forget(self) -> None:
         """Give back the memory of the request that is being read, which will not be handled."""
-        self.request, self.held_head_bytes = HttpRequest(), 0
+        self.request = HttpRequest()
+        self.held_head_bytes = self.incomplete_bytes = 0
         self.body.clear()
 
     def feed(self, data: memoryview) -> None:
@@ -140,6 +142,7 @@
     def on_message_complete(self) -> None:
         """The request is complete."""
         self.request_begun = self.head_complete = False
+        self.incomplete_bytes = 0
         self.completed_requests += 1
         if len(self.body) > self.max_body_bytes:
             self.refusal = self.refusal or EndReason.BODY_TOO_LARGE
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -204,6 +204,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.unparsed = unparsed
+        self._count_held_bytes()
         self.transport.pause_reading()
         self.acceptor.turns.defer(self)
 
@@ -243,7 +244,8 @@
 
     def _count_held_bytes(self) -> None:
         waiting_bytes = sum(request.held_bytes for request in self.queued)
-        self._set_held_bytes(self.current_bytes + waiting_bytes + self.parser.held_bytes)
+        unread_bytes = self.parser.held_bytes + len(self.unparsed)
+        self._set_held_bytes(self.current_bytes + waiting_bytes + unread_bytes)
 
     def _set_held_bytes(self, size: int) -> None:
         self.acceptor.on_held_bytes_changed(size - self.held_bytes)
@@ -253,7 +255,7 @@
         """Forget the requests that are incomplete or wait behind the one that is handled."""
         self.queued.clear()
         self.parser.forget()
-        self._set_held_bytes(self.current_bytes)
+        self._count_held_bytes()
 
     # Refusals.
 
