Read connections in steps, those that have cost least first

Cause: turns.py continued deferred connections in order of arrival, each with all that it had sent, so that a small request waited until hundreds of connections of a flood were parsed. Ruled out: an order by cost alone: under a lasting flood a large sound request would starve, so each fourth turn begins with a costly one. Change: a step is 4 KiB; connections that have had a response come first, then new ones, then those whose incomplete request has cost more than a step (a read counts as 256 bytes). Connection reads no costly request outside of its turn.

--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -13,12 +13,14 @@
 from grebestack.transport.http_message import HttpRequest, encode_response
 from grebestack.transport.peer_state import has_peer_closed
 from grebestack.transport.request_parser import RequestParser
-from grebestack.transport.turns import TurnScheduler
+from grebestack.transport.turns import ReadPriority, TurnScheduler
 
 log = logging.getLogger(__name__)
 READ_BUFFER_BYTES = 16 * 1024
 PARSED_AT_ONCE_BYTES = 1024
 MAX_REQUESTS_PER_TURN = 16  # of the event loop, for one connection
+MAX_STEP_BYTES = 4 * 1024  # of a request, before others that have cost less get their turn
+READ_COST_BYTES = 256  # a read costs as much time as so many bytes
 MAX_PIPELINED_REQUESTS = 2  # requests that a client may send before the response to an earlier one
 MAX_MALFORMED_REQUESTS = 8  # of one connection
 MAX_DISCARDED_BYTES = 256 * 1024  # from a client that goes on sending after the last response
@@ -109,6 +111,7 @@
         self.lingering = False  # our side is closed after the last response; what arrives is discarded
         self.discarded_bytes = self.malformed_requests = 0
         self.unparsed = b""  # received, and left for a later turn of the event loop
+        self.spent_bytes = 0  # the cost of the request that is being read
         self.held_bytes = 0  # of memory, by all its requests that are not responded to
         self.current_bytes = 0  # of these, by the request that is handled
 
@@ -150,8 +153,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         data = self.acceptor.read_buffer[:nbytes]
-        if self.acceptor.turns.may_read():
-            self.data_received(data)
+        self.spent_bytes += READ_COST_BYTES
+        if self.acceptor.turns.may_read() and self.read_priority is not ReadPriority.COSTLY:
+            self._read_step(data)
         else:
             self._defer(bytes(data))
 
@@ -179,6 +183,22 @@
 
     # Reading.
 
+    @property
+    def read_priority(self) -> ReadPriority:
+        """Which connections are continued before this one."""
+        if self.spent_bytes > MAX_STEP_BYTES:
+            return ReadPriority.COSTLY
+        return ReadPriority.KNOWN if self.parser.completed_requests else ReadPriority.NEW
+
+    def _read_step(self, data: memoryview) -> None:
+        """Parse the first step of what has arrived, and leave the rest for a later turn."""
+        self.data_received(data[:MAX_STEP_BYTES])
+        if rest := data[MAX_STEP_BYTES:]:
+            if self.unparsed:  # it is deferred already
+                self.unparsed += bytes(rest)
+            else:
+                self._defer(bytes(rest))
+
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse what has arrived, and handle some requests; the others follow in later turns of the loop."""
         view, completed = memoryview(data), self.parser.completed_requests
@@ -191,8 +211,6 @@
                 return
             self._parse(view[start : start + PARSED_AT_ONCE_BYTES])
         self.acceptor.limit_held_bytes(self)
-        if len(view) == READ_BUFFER_BYTES and self.parser.completed_requests > completed:
-            self._defer(b"")  # there may be more
 
     def _discard(self, size: int) -> None:
         self.discarded_bytes += size
@@ -214,10 +232,12 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.transport.resume_reading()
-        self.data_received(data)
+        self._read_step(memoryview(data))
 
     def _parse(self, data: memoryview) -> None:
+        completed = self.parser.completed_requests
         self.parser.feed(data)
+        self.spent_bytes = self.spent_bytes + len(data) if self.parser.completed_requests == completed else 0
         self._count_held_bytes()
         if self.parser.refusal is not None:
             self._refuse(self.parser.refusal)
--- a/grebestack/transport/turns.py
+++ b/grebestack/transport/turns.py
@@ -5,31 +5,52 @@
 import asyncio
 import time
 from collections import deque
+from enum import IntEnum
 from typing import Protocol
 
 READ_BUDGET_S = 0.01  # for what arrives in a turn; what is left of it waits for a later one
 DEFERRED_BUDGET_S = 0.005  # for what waits, in each turn
+COSTLY_TURN_INTERVAL = 4  # turns; in each such one a costly connection goes first, so that none starves
+
+
+class ReadPriority(IntEnum):
+    """In which order connections are continued."""
+
+    KNOWN = 0  # it has had a response, and its next request has cost little so far
+    NEW = 1
+    COSTLY = 2  # its request has cost much and is still incomplete
 
 
 class DeferredReader(Protocol):
     """A connection with more to read than it may handle in one turn."""
 
+    @property
+    def read_priority(self) -> ReadPriority:
+        """Its place among the others when it is deferred."""
+
     def continue_reading(self) -> None:
-        """Handle more, and defer the rest again if it is too much."""
+        """Handle a step more, and defer the rest again if it is too much."""
 
 
 class TurnScheduler:
-    """Continues deferred connections in later turns of the loop, one after the other.
+    """Continues deferred connections in later turns of the loop, by priority and in order of arrival.
 
     Other events, timers and callbacks get their turn in between.
     """
 
     def __init__(self) -> None:
         """Start without deferred connections."""
-        self.deferred: deque[DeferredReader] = deque()
+        self.deferred: dict[ReadPriority, deque[DeferredReader]] = {
+            priority: deque() for priority in ReadPriority
+        }
         self.is_scheduled = False
         self.is_reading = False  # something has been read in this turn
         self.read_until_s = 0.0
+        self.turns = 0
+
+    def __len__(self) -> int:
+        """How many connections wait to be continued."""
+        return sum(map(len, self.deferred.values()))
 
     def may_read(self) -> bool:
         """Whether a connection that has received something may handle it in this turn."""
@@ -45,7 +66,7 @@
 
     def defer(self, connection: DeferredReader) -> None:
         """Continue a connection in a later turn."""
-        self.deferred.append(connection)
+        self.deferred[connection.read_priority].append(connection)
         self._schedule()
 
     def _schedule(self) -> None:
@@ -55,12 +76,19 @@
 
     def _on_turn(self) -> None:
         self.is_scheduled = False
+        self.turns += 1
         until_s = time.monotonic() + DEFERRED_BUDGET_S
         try:
-            for _ in range(len(self.deferred)):
-                self.deferred.popleft().continue_reading()
+            costly = self.deferred[ReadPriority.COSTLY]
+            if costly and self.turns % COSTLY_TURN_INTERVAL == 0:
+                costly.popleft().continue_reading()
+            for _ in range(len(self)):
+                self._next().continue_reading()
                 if time.monotonic() >= until_s:
                     break
         finally:
-            if self.deferred:
+            if len(self):
                 self._schedule()
+
+    def _next(self) -> DeferredReader:
+        return next(waiting for waiting in self.deferred.values() if waiting).popleft()
