A failing test: one connection is accepted in each turn of the loop

Cause (what callers saw): others wait up to 3.4 s beside 600 clients that open connections and send small chunks. Evidence: no turn of the loop is held up (no event=loop), yet runners' call-backs, each on a new connection, are connected after 0 ms and answered after 0.7 to 3.4 s; the event loop accepts one connection a turn and listening handle, so 600 take 600 turns of 5 to 15 ms.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -10,13 +10,17 @@
 from typing import Any, cast
 
 import pytest
+import uvloop
 
+from grebestack.program.client_listener import ClientListener
+from grebestack.program.config.model import Config
 from grebestack.protocol import recent_call_ids
 from grebestack.transport import server, turns
 from grebestack.transport.acceptor import Acceptor
 from grebestack.transport.http_message import HttpRequest
 from grebestack.transport.request_parser import MAX_HEADER_FIELDS
-from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher
+from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher, settings
+from tests.ports import reserved_port
 from tests.process_memory import memory_mb, taken_bytes
 from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed, wait_until
 from tests.test_connections import FakeTransport, RecordingHandler, SilentHandler
@@ -492,3 +496,25 @@
     now_ms = recent_call_ids.KEPT_MS
     ids.add("e")
     assert ids.newest(9) == ["e"]
+
+
+def test_connections_are_accepted_several_in_a_turn() -> None:
+    # Guards against clients and call-backs that wait behind each new connection of a flood for a turn.
+    count, acceptor = 80, Acceptor(RecordingHandler(), max_connections=200)
+    config = Config("n0", ("127.0.0.1", reserved_port()), ("", 0), {}, settings())
+
+    async def test() -> int:
+        listener = ClientListener(asyncio.get_running_loop(), config, acceptor)
+        await listener.open()
+        sockets = [socket.create_connection(config.listen, 20.0) for _ in range(count)]
+        turns_taken = 0
+        async with asyncio.timeout(20.0):
+            while len(acceptor.connections) < count:
+                turns_taken += 1
+                await asyncio.sleep(0)
+        listener.close()
+        for sock in sockets:
+            sock.close()
+        return turns_taken
+
+    assert uvloop.run(test()) <= count / 4
