--- a/grebestack/program/client_listener.py
+++ b/grebestack/program/client_listener.py
@@ -14,6 +14,7 @@
 
 log = logging.getLogger(__name__)
 BACKLOG = 1024  # clients or workers' callbacks that connect at the same moment
+LISTENING_HANDLES = 8  # the event loop accepts one connection a turn on each
 BYTES_PER_MB = 1024 * 1024
 HELD_SHARE_OF_MEMORY = 6.0  # the rest is for the program, its connections, and copies
 _OWN_SOCKETS = 48  # standard streams, event loop, listeners, discovery, clients that are rejected
@@ -59,7 +60,7 @@
         """Create the listener without opening it."""
         self.loop, self.acceptor = loop, acceptor
         self.name, self.address, self.inherited_fd = config.name, config.listen, config.listen_fd
-        self.server: asyncio.Server | None = None
+        self.servers: list[asyncio.Server] = []
 
     async def open(self) -> None:
         """Accept clients.
@@ -69,13 +70,17 @@
         StartError : the inherited descriptor is not a socket.
         OSError : the address is unusable.
         """
-        if self.server is not None:
+        if self.servers:
             return
         if self.inherited_fd is None:
-            self.server = await self.loop.create_server(self.acceptor, *self.address, backlog=BACKLOG)
+            first = await self.loop.create_server(self.acceptor, *self.address, backlog=BACKLOG)
         else:
             sock = self._inherited_socket(self.inherited_fd)
-            self.server = await self.loop.create_server(self.acceptor, sock=sock, backlog=BACKLOG)
+            first = await self.loop.create_server(self.acceptor, sock=sock, backlog=BACKLOG)
+        self.servers.append(first)
+        for _ in range(LISTENING_HANDLES - 1):
+            sock = socket.socket(fileno=os.dup(first.sockets[0].fileno()))
+            self.servers.append(await self.loop.create_server(self.acceptor, sock=sock, backlog=BACKLOG))
         address = ":".join(map(str, self.address))
         log.info("listening", extra={"kv": {"name": self.name, "address": address}})
 
@@ -88,9 +93,9 @@
 
     def close(self) -> None:
         """Close this process's own copy of the listener."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        for server in self.servers:
+            server.close()
+        self.servers.clear()
 
 
 def sweep_periodically(loop: asyncio.AbstractEventLoop, acceptor: Acceptor) -> None:
