A failing test: evicted connections that linger pass the limit of connections

Cause (what was seen): under clients that reset and come again the program holds 2,311 connections, with a limit of 1,024 descriptors. Acceptor.on_opened made room for every second connection only: one that is evicted is answered 503 and lingers, and the next connection takes the place of the one that lingers. Ruled out: reset connections that are not read alone (they are among those that are evicted).

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -297,6 +297,24 @@
     assert dropped == sorted(dropped, reverse=True) and 20 < sum(dropped) < 40 and not acceptor.is_memory_full
 
 
+# Connections.
+
+
+def test_connections_that_linger_after_their_eviction_count_towards_the_limit() -> None:
+    # Guards against more descriptors than allowed: an evicted connection stays until its client has read why.
+    acceptor, transports = Acceptor(SilentHandler(), max_connections=64), list[FakeTransport]()
+    for _ in range(1000):
+        transports.append(FakeTransport(acceptor()))
+        if not transports[-1].closed:
+            transports[-1].protocol.data_received(half_request(100))
+        for transport in transports:
+            if transport.closed:
+                transport.disconnect()
+        assert len(acceptor.connections) <= 64 + acceptor.margin
+    refused = [transport for transport in transports if transport.written.startswith(b"HTTP/1.1 503")]
+    assert len(refused) > 800, "most make room in time, and are told why"
+
+
 # Turns of the event loop.
 
 
