End one connection for each new one beyond the limit, also while evicted ones linger

Cause: Acceptor.on_opened ended a lingering connection or evicted one that then lingers, so every second new connection was one more. Ruled out: shorter lingering (a client would lose the reason of its refusal to a reset). Change: each new connection beyond the limit evicts one; beyond half of the margin the longest lingering one is ended, beyond the margin the new one, unread. Connections that are closed and whose end the loop has not reported yet don't count. The log line of it comes once a second. The listener's handles have their share of descriptors.

--- a/grebestack/program/client_listener.py
+++ b/grebestack/program/client_listener.py
@@ -17,9 +17,9 @@
 LISTENING_HANDLES = 8  # the event loop accepts one connection a turn on each
 BYTES_PER_MB = 1024 * 1024
 HELD_SHARE_OF_MEMORY = 6.0  # the rest is for the program, its connections, and copies
-_OWN_SOCKETS = 48  # standard streams, event loop, listeners, discovery, clients that are rejected
+_OWN_SOCKETS = 56  # standard streams, event loop, listeners, discovery, clients that are rejected
 _ADMIN_SOCKETS = 20  # reserved for the admin server, if there is one
-_OWN_SOCKETS_IN_RESTART = 44  # the sum of both, for each process of a hot restart
+_OWN_SOCKETS_IN_RESTART = 52  # the sum of both, for each process of a hot restart
 _MIN_CONNECTIONS = 64
 _MIN_WORKER_CONNECTIONS_IN_RESTART = 8
 
--- a/grebestack/transport/acceptor.py
+++ b/grebestack/transport/acceptor.py
@@ -20,6 +20,7 @@
 REQUEST_TIMEOUT_S = 2.3  # for a complete request, from its first byte or the opening of its connection
 LINGER_TIMEOUT_S = 2.0  # for a client to close its side after the last response
 SWEEP_INTERVAL_S = 0.25
+DROP_LOG_INTERVAL_S = 1.0  # `ended_connection_limit` counts all
 
 
 class DrainScope(Enum):
@@ -33,9 +34,9 @@
 class Acceptor:
     """Makes the protocol objects of new connections and limits how many there are.
 
-    Beyond the limit, the oldest connection that lingers after its last response is closed, else the oldest of
-    the larger group: of those that are idle, or of those that await a request. So many silent connections
-    displace each other, not the clients that are served.
+    Beyond the limit, each new connection ends the oldest of the larger group: of those that are idle, or of
+    those that await a request. So many silent connections displace each other, not the clients that are
+    served. Some connections linger beyond the limit until their clients have read why they end.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.handler, self.max_connections, self.max_body_bytes = handler, max_connections, max_body_bytes
         self.margin = max_connections // 8  # beyond the limit while all are busy: for call-backs, not jobs
         self.connections: set[Connection] = set()
+        self.closed: set[Connection] = set()  # of these, by this side, with the end not reported yet
         self.idle: OrderedDict[Connection, None] = OrderedDict()
         self.awaiting_request: OrderedDict[Connection, float] = OrderedDict()  # since when
         self.lingering: OrderedDict[Connection, float] = OrderedDict()  # since when
@@ -51,6 +53,7 @@
         self.held_bytes = 0  # of memory, by all requests that are not responded to
         self.ends: Counter[EndReason] = Counter()  # of connections, since the start
         self.refusal_log = RefusalLog()
+        self.next_drop_log_s = 0.0
         self.set_max_held_bytes(DEFAULT_MAX_HELD_BYTES)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # each read is parsed before the next one
         self.turns = TurnScheduler()
@@ -62,25 +65,42 @@
     def on_opened(self, connection: Connection) -> None:
         """A connection has opened."""
         self.connections.add(connection)
-        if len(self.connections) > self.max_connections:
-            group = self.awaiting_request if len(self.awaiting_request) > len(self.idle) else self.idle
-            lingering = next(
-                (c for c in self.lingering if c.lingering), None
-            )  # the others are closed already
-            if lingering is not None:
-                del self.lingering[lingering]
-                lingering.disconnect(EndReason.CONNECTION_LIMIT)
-            elif group:
-                next(iter(group)).evict(EndReason.CONNECTION_LIMIT)
-            else:
-                connection.over_limit = True
-                is_excess = len(self.connections) > self.max_connections + self.margin
-                # One with an adopted request is kept: it must be answered.
-                if is_excess and not connection.busy and connection.transport is not None:
-                    log.warning("frontend_dropped", extra={"kv": {"connections": len(self.connections)}})
-                    connection.disconnect(EndReason.CONNECTION_LIMIT)
-                    return
-        self.awaiting_request[connection] = time.monotonic()
+        if self._count_open() > self.max_connections:
+            self._make_room_for(connection)
+        if connection.end_reason is None:
+            self.awaiting_request[connection] = time.monotonic()
+
+    def _count_open(self) -> int:
+        """The connections that are not closed; the loop reports the end of a closed one a little later."""
+        return len(self.connections) - len(self.closed)
+
+    def _make_room_for(self, connection: Connection) -> None:
+        """End another connection for a new one; beyond the margin the new one is ended, unread."""
+        group = self.awaiting_request if len(self.awaiting_request) > len(self.idle) else self.idle
+        if group:
+            next(iter(group)).evict(EndReason.CONNECTION_LIMIT)
+        else:
+            connection.over_limit = True
+        excess = self._count_open() - self.max_connections
+        if excess > self.margin // 2:
+            self._end_longest_lingering()
+        # One with an adopted request is kept: it must be answered.
+        if excess > self.margin and not connection.busy:
+            self._log_dropped()
+            connection.disconnect(EndReason.CONNECTION_LIMIT)
+
+    def _end_longest_lingering(self) -> None:
+        """End the connection that has lingered for the longest, apart from those that are closed already."""
+        lingering = next((c for c in self.lingering if c.lingering), None)
+        if lingering is not None:
+            del self.lingering[lingering]
+            lingering.disconnect(EndReason.CONNECTION_LIMIT)
+
+    def _log_dropped(self) -> None:
+        now_s = time.monotonic()
+        if now_s >= self.next_drop_log_s:
+            self.next_drop_log_s = now_s + DROP_LOG_INTERVAL_S
+            log.warning("frontend_dropped", extra={"kv": {"connections": len(self.connections)}})
 
     def on_request_begun(self, connection: Connection) -> None:
         """Part of a request has arrived."""
@@ -93,6 +113,8 @@
         self.awaiting_request.pop(connection, None)
         self.idle.pop(connection, None)
         self.lingering[connection] = time.monotonic()
+        if not connection.lingering:
+            self.closed.add(connection)
 
     def on_refused(self, reason: EndReason, status: int, call_id: bytes, held_bytes: int) -> None:
         """A request is refused that has not been handled."""
@@ -157,6 +179,7 @@
     def on_closed(self, connection: Connection) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
+        self.closed.discard(connection)
         for group in (self.idle, self.awaiting_request, self.lingering):
             group.pop(connection, None)
         if connection.end_reason is not None:
--- a/grebestack/transport/turns.py
+++ b/grebestack/transport/turns.py
@@ -8,8 +8,8 @@
 from enum import IntEnum
 from typing import Protocol
 
-READ_BUDGET_S = 0.002  # for what arrives in a turn; what is left of it waits for a later one
-DEFERRED_BUDGET_S = 0.002  # for what waits, in each turn
+READ_BUDGET_S = 0.001  # for what arrives in a turn; what is left of it waits for a later one
+DEFERRED_BUDGET_S = 0.001  # for what waits, in each turn
 COSTLY_TURN_INTERVAL = 4  # turns; in each such one a costly connection goes first, so that none starves
 
 
