Count responses that clients don't read, and drop the oldest of them while memory is full

Cause: what a client does not read of its response was bounded for each connection (64 KiB and one response), not for all, and was counted as nothing; and a job was refused for memory that incomplete requests held. Ruled out: small responses (under 1 KiB; sockets' own buffers hold them), counting at each write (the loop writes at the end of a turn). While memory is full, those that have not been read for 3 s go, the oldest first. Before a job is refused, incomplete requests are; each of them once, in one pass.

--- a/grebestack/transport/acceptor.py
+++ b/grebestack/transport/acceptor.py
@@ -19,6 +19,7 @@
 DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024
 REQUEST_TIMEOUT_S = 2.3  # for a complete request, from its first byte or the opening of its connection
 LINGER_TIMEOUT_S = 2.0  # for a client to close its side after the last response
+UNREAD_TIMEOUT_S = 3.0  # for a client to read its response, while memory is full
 SWEEP_INTERVAL_S = 0.25
 DROP_LOG_INTERVAL_S = 1.0  # `ended_connection_limit` counts all
 
@@ -49,6 +50,7 @@
         self.idle: OrderedDict[Connection, None] = OrderedDict()
         self.awaiting_request: OrderedDict[Connection, float] = OrderedDict()  # since when
         self.lingering: OrderedDict[Connection, float] = OrderedDict()  # since when
+        self.unread: OrderedDict[Connection, float] = OrderedDict()  # with a response not read, since when
         self.drain_scope = DrainScope.NONE
         self.held_bytes = 0  # of memory, by all requests that are not responded to
         self.ends: Counter[EndReason] = Counter()  # of connections, since the start
@@ -131,22 +133,50 @@
 
     @property
     def is_memory_full(self) -> bool:
-        """Whether requests hold more memory than they may."""
+        """Whether requests and unread responses hold more memory than they may."""
+        if self.held_bytes > self.max_held_bytes:
+            self._count_unread()
         return self.held_bytes > self.max_held_bytes
 
+    def on_unread(self, connection: Connection) -> None:
+        """A response has been written that the client has not read yet."""
+        self.unread.setdefault(connection, time.monotonic())
+
+    def _count_unread(self) -> None:
+        """Count anew the responses that have not been read."""
+        for connection in list(self.unread):
+            if not connection.count_unread_bytes():
+                del self.unread[connection]
+
+    def _drop_unread_responses(self, before_s: float) -> None:
+        """While memory is full, drop the responses that have not been read since before a time."""
+        while self.is_memory_full and self.unread and next(iter(self.unread.values())) < before_s:
+            connection, _ = self.unread.popitem(last=False)
+            connection.drop_unread_response()
+
     def limit_held_bytes(self, newest: Connection) -> None:
         """Refuse the slowest incomplete requests while they hold too much; if there are none, the newest one.
 
         Requests that are handled are answered in any case.
         """
-        while self.is_memory_full:
-            slowest = next((c for c in self.awaiting_request if c.has_unhandled_request), None)
-            if slowest is None:
-                if newest.has_unhandled_request:
-                    newest.evict(EndReason.MEMORY_LIMIT)
-                return
-            del self.awaiting_request[slowest]
-            slowest.evict(EndReason.MEMORY_LIMIT)
+        if not self._refuse_incomplete_requests() and newest.has_unhandled_request:
+            newest.evict(EndReason.MEMORY_LIMIT)
+
+    def has_room_for_job(self) -> bool:
+        """Whether a new job may be taken, if incomplete requests are refused first."""
+        return self._refuse_incomplete_requests()
+
+    def _refuse_incomplete_requests(self) -> bool:
+        """Refuse the slowest ones until there is memory again; return whether there is."""
+        if not self.is_memory_full:
+            return True
+        for connection in list(self.awaiting_request):
+            if self.held_bytes <= self.max_held_bytes:
+                return True
+            if connection.has_unhandled_request:
+                self.awaiting_request.pop(connection, None)
+                connection.evict(EndReason.MEMORY_LIMIT)
+        return not self.is_memory_full
 
     def set_max_held_bytes(self, max_held_bytes: int) -> None:
         """Set the limit; a request of the largest size always fits."""
@@ -155,6 +185,8 @@
     def sweep(self) -> None:
         """End the connections whose timeout is over."""
         now = time.monotonic()
+        self._count_unread()
+        self._drop_unread_responses(now - UNREAD_TIMEOUT_S)
         for group, timeout_s in (
             (self.awaiting_request, REQUEST_TIMEOUT_S),
             (self.lingering, LINGER_TIMEOUT_S),
@@ -180,7 +212,7 @@
         """A connection has ended."""
         self.connections.discard(connection)
         self.closed.discard(connection)
-        for group in (self.idle, self.awaiting_request, self.lingering):
+        for group in (self.idle, self.awaiting_request, self.lingering, self.unread):
             group.pop(connection, None)
         if connection.end_reason is not None:
             self.ends[connection.end_reason] += 1
--- a/grebestack/transport/end_reason.py
+++ b/grebestack/transport/end_reason.py
@@ -23,6 +23,7 @@
     NO_REQUEST = "no_request"  # nothing of a request arrived in time
     CONNECTION_LIMIT = "connection_limit"
     MEMORY_LIMIT = "memory_limit"
+    UNREAD_RESPONSE = "unread_response"  # while memory was full
     LINGER_TIMEOUT = "linger_timeout"
     EXCESS_DATA = "excess_data"  # after the last response
 
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -23,6 +23,7 @@
 READ_COST_BYTES = 256  # a read costs as much time as so many bytes
 MAX_PIPELINED_REQUESTS = 2  # requests that a client may send before the response to an earlier one
 MAX_MALFORMED_REQUESTS = 8  # of one connection
+MIN_COUNTED_RESPONSE_BYTES = 1024  # the sockets' own buffers hold smaller ones
 MAX_DISCARDED_BYTES = 256 * 1024  # from a client that goes on sending after the last response
 
 
@@ -49,9 +50,8 @@
     def idle_connections(self) -> Iterable[Connection]:
         """Those that wait for their next request."""
 
-    @property
-    def is_memory_full(self) -> bool:
-        """Whether requests hold more memory than they may."""
+    def has_room_for_job(self) -> bool:
+        """Whether a new job may be taken, if incomplete requests are refused first."""
 
     def on_opened(self, connection: Connection) -> None:
         """A connection has opened."""
@@ -68,6 +68,9 @@
     def on_lingering(self, connection: Connection) -> None:
         """A connection has its last response, or needs none, and ends once the client has read it."""
 
+    def on_unread(self, connection: Connection) -> None:
+        """A response has been written that the client has not read yet."""
+
     def on_closed(self, connection: Connection) -> None:
         """A connection has ended."""
 
@@ -114,6 +117,7 @@
         self.spent_bytes = 0  # the cost of the request that is being read
         self.held_bytes = 0  # of memory, by all its requests that are not responded to
         self.current_bytes = 0  # of these, by the request that is handled
+        self.unread_bytes = 0  # of responses, as counted last
 
     @property
     def request_begun(self) -> bool:
@@ -128,7 +132,7 @@
     @property
     def is_overloaded(self) -> bool:
         """Whether a new job can't be taken: there are too many connections, or too much memory is held."""
-        return self.over_limit or self.acceptor.is_memory_full
+        return self.over_limit or not self.acceptor.has_room_for_job()
 
     def has_peer_closed(self) -> bool:
         """Whether the client has closed its side, also if that is not read yet behind other data."""
@@ -179,6 +183,7 @@
 
     def resume_writing(self) -> None:
         self.writing_paused = False
+        self.count_unread_bytes()
         self._handle_next()
 
     # Reading.
@@ -264,8 +269,21 @@
 
     def _count_held_bytes(self) -> None:
         waiting_bytes = sum(request.held_bytes for request in self.queued)
-        unread_bytes = self.parser.held_bytes + len(self.unparsed)
-        self._set_held_bytes(self.current_bytes + waiting_bytes + unread_bytes)
+        input_bytes = self.parser.held_bytes + len(self.unparsed)
+        self._set_held_bytes(self.current_bytes + waiting_bytes + input_bytes + self.unread_bytes)
+
+    def count_unread_bytes(self) -> int:
+        """Count anew what the client has not read of its responses, and return it."""
+        transport = self.transport
+        self.unread_bytes = 0 if transport is None else transport.get_write_buffer_size()
+        self._count_held_bytes()
+        return self.unread_bytes
+
+    def drop_unread_response(self) -> None:
+        """End the connection of a client that does not read its response, and give back the memory."""
+        self.disconnect(EndReason.UNREAD_RESPONSE)
+        self.unread_bytes = 0
+        self._count_held_bytes()
 
     def _set_held_bytes(self, size: int) -> None:
         self.acceptor.on_held_bytes_changed(size - self.held_bytes)
@@ -346,12 +364,14 @@
             self.early_response = status, body, headers
             return
         self.busy = False
-        self._set_held_bytes(self.held_bytes - self.current_bytes)
         self.current_bytes = 0
+        self._count_held_bytes()
         if self.transport is None:
             return
         self.closing = self.closing or self.acceptor.is_draining(self)
         self.transport.write(encode_response(status, body, headers, is_last=self.closing))
+        if len(body) >= MIN_COUNTED_RESPONSE_BYTES and self.count_unread_bytes():
+            self.acceptor.on_unread(self)
         if self.closing:
             self._linger()
         elif self.queued or self.refusal_status is not None:
