Guard the memory limit by the memory that the process really takes, and give back what is freed

Cause: the only guard was a count of what requests hold; a count that leaves something out guards nothing, and freed memory stayed with the process, where the platform counts it. Ruled out: reading the memory in each turn of the loop (3 us a turn); a guard on an appliance, whose operator's file states no limit. Change: MemoryGuard reads /proc/self/statm each 20 ms and after each 128 KiB that are received; MemoryThresholds (pure) makes it a step by the share of what the limit leaves above the process without clients: a quarter of the incomplete requests is refused (largest first) each time, then new jobs, then unread responses are dropped. Accepted jobs are answered in all steps. In a hot restart each of the two processes has half of the limit. Freed memory is given back (malloc_trim) at intervals that grow while there is little.

--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -30,6 +30,7 @@
 from grebestack.program.lifecycle_control import LifecycleControl
 from grebestack.program.loop_clock import LoopClock
 from grebestack.program.loop_monitor import LoopMonitor
+from grebestack.program.memory_guard import BYTES_PER_MB, MemoryGuard
 from grebestack.program.memory_log import MemoryLog
 from grebestack.program.process_memory import ProcessMemory
 from grebestack.program.traffic_log import TrafficLog
@@ -101,6 +102,9 @@
         # On the platform the folder is private and counts as memory; elsewhere it is everybody's.
         self.memory = ProcessMemory(None if config.path else os.environ.get("TMPDIR"))
         self.memory_log = MemoryLog(loop, self.memory, self.acceptor)
+        # An operator's file states no limit.
+        limit_bytes = None if config.path else int(config.max_memory_mb * BYTES_PER_MB)
+        self.memory_guard = MemoryGuard(loop, self.memory, self.acceptor, limit_bytes)
         self.traffic_log = TrafficLog(loop, self.engine, self.pools, self.acceptor, self._count_list_requests)
 
     def _build_membership_adapter(self) -> MembershipAdapter | None:
@@ -152,6 +156,7 @@
         self.acceptor.set_max_connections(limits.clients)
         self.acceptor.set_max_held_bytes(held_bytes_limit(self.config, processes))
         self.pools.set_max_connections(limits.workers)
+        self.memory_guard.set_processes(processes)
 
     def stop_listening(self) -> None:
         """Close this process's copy of the client listener."""
@@ -192,6 +197,7 @@
         sweep_periodically(self.loop, self.acceptor)
         gc.collect()
         gc.freeze()
+        self.memory_guard.start()
         await self.lifecycle_control.stopped
         self.is_stopped = True
         self._close_parts()
--- a/grebestack/program/memory_log.py
+++ b/grebestack/program/memory_log.py
@@ -5,11 +5,11 @@
 import asyncio
 import logging
 
+from grebestack.program.memory_guard import BYTES_PER_MB
 from grebestack.program.process_memory import ProcessMemory
 from grebestack.transport.acceptor import Acceptor
 
 log = logging.getLogger(__name__)
-BYTES_PER_MB = 1024 * 1024
 LOG_INTERVAL_S = 1.0
 MIN_LOGGED_CHANGE_BYTES = BYTES_PER_MB
 
--- a/grebestack/transport/acceptor.py
+++ b/grebestack/transport/acceptor.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from grebestack.transport.end_reason import EndReason
+from grebestack.transport.memory_step import MemoryStep
 from grebestack.transport.refusal_log import RefusalLog
 from grebestack.transport.server import READ_BUFFER_BYTES, Connection, Handler
 from grebestack.transport.turns import TurnScheduler
@@ -19,6 +20,8 @@
 DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024
 REQUEST_TIMEOUT_S = 2.3  # for a complete request, from its first byte or the opening of its connection
 LINGER_TIMEOUT_S = 2.0  # for a client to close its side after the last response
+MAX_UNCHECKED_BYTES = 128 * 1024  # that are received before the memory of the process is read again
+RELIEVED_SHARE = 0.25  # of the incomplete requests, each time that the memory is found too high
 UNREAD_TIMEOUT_S = 3.0  # for a client to read its response, while memory is full
 SWEEP_INTERVAL_S = 0.25
 DROP_LOG_INTERVAL_S = 1.0  # `ended_connection_limit` counts all
@@ -59,6 +62,9 @@
         self.set_max_held_bytes(DEFAULT_MAX_HELD_BYTES)
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # each read is parsed before the next one
         self.turns = TurnScheduler()
+        self.memory_step = MemoryStep.NORMAL
+        self.check_memory: Callable[[], None] = lambda: None  # called after each `MAX_UNCHECKED_BYTES`
+        self.unchecked_bytes = 0  # received since it was called last
         self.hand_over_idle: Callable[[Connection, bool], bool] | None = None  # see `hand_over`
 
     def __call__(self) -> Connection:
@@ -164,7 +170,31 @@
 
     def has_room_for_job(self) -> bool:
         """Whether a new job may be taken, if incomplete requests are refused first."""
-        return self._refuse_incomplete_requests()
+        return self.memory_step < MemoryStep.REFUSE_JOBS and self._refuse_incomplete_requests()
+
+    def on_received(self, size: int) -> None:
+        """A connection has read data."""
+        self.unchecked_bytes += size
+        if self.unchecked_bytes >= MAX_UNCHECKED_BYTES:
+            self.unchecked_bytes = 0
+            self.check_memory()
+
+    def relieve_memory(self, step: MemoryStep) -> int:
+        """Refuse a part of the incomplete requests, and drop unread responses; return how many of both."""
+        incomplete = [c for c in self.awaiting_request if c.has_unhandled_request]
+        incomplete.sort(key=lambda connection: connection.held_bytes, reverse=True)
+        refused = incomplete[: math.ceil(len(incomplete) * RELIEVED_SHARE)]
+        for connection in refused:
+            self.awaiting_request.pop(connection, None)
+            connection.evict(EndReason.MEMORY_LIMIT)
+        if step < MemoryStep.DROP_UNREAD:
+            return len(refused)
+        self._count_unread()
+        unread = list(self.unread)[: math.ceil(len(self.unread) * RELIEVED_SHARE)]
+        for connection in unread:
+            del self.unread[connection]
+            connection.drop_unread_response()
+        return len(refused) + len(unread)
 
     def _refuse_incomplete_requests(self) -> bool:
         """Refuse the slowest ones until there is memory again; return whether there is."""
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -56,6 +56,9 @@
     def on_opened(self, connection: Connection) -> None:
         """A connection has opened."""
 
+    def on_received(self, size: int) -> None:
+        """A connection has read data."""
+
     def on_request_begun(self, connection: Connection) -> None:
         """Part of a request has arrived."""
 
@@ -157,6 +160,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         data = self.acceptor.read_buffer[:nbytes]
+        self.acceptor.on_received(nbytes)
         self.spent_bytes += READ_COST_BYTES
         if self.acceptor.turns.may_read() and self.read_priority is not ReadPriority.COSTLY:
             self._read_step(data)
