Soak: floods of unsound clients, drawn from a seed, and a bound on memory

Ruled out: changed draws of the former parameters (the flood is drawn last and from a generator of its own).

--- a/benchmarks/client_floods.py
+++ b/benchmarks/client_floods.py
@@ -26,6 +26,7 @@
 from multiprocessing.queues import Queue
 from pathlib import Path
 
+from drawn_flood import draw_flood
 from harness import percentile, print_figures
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -50,6 +51,7 @@
 FIELDS, HEAD_PIECES = 3000, 4
 BODY_BYTES, SENT_BODY_BYTES = 64_000, 60_000
 PIPELINED = 200
+DRAWN = "drawn"
 
 
 def connect_many(address: Address, count: int) -> list[socket.socket]:
@@ -229,7 +231,12 @@
     pipeline(address, until, request)
 
 
-FLOODS: dict[str, Callable[[Address, int, float], None]] = {
+def play_drawn_flood(address: Address, connections: int, until: float, seed: int = 1) -> None:
+    """A flood that a seed draws."""
+    draw_flood(seed, connections).play(address, lambda: time.monotonic() >= until)
+
+
+FLOODS: dict[str, Callable[..., None]] = {
     "heads": flood_with_heads,
     "bodies": flood_with_bodies,
     "pipelined_bodies": flood_with_pipelined_bodies,
@@ -246,6 +253,7 @@
     "drip_8": partial(drip, piece=b"x" * 8),
     "drip_2": partial(drip, piece=b"x" * 2),
     "resets": flood_with_resets,
+    DRAWN: play_drawn_flood,
 }
 
 
@@ -302,6 +310,7 @@
     seconds: float
     connections: int
     limit_mb: float
+    seed: int = 1  # of a drawn flood
     has_restart: bool = False  # by SIGKILL, in the middle; the clients of the flood come back at once
     settle_s: float = 0.0  # before the memory is read again
     peak_mb: float = 0.0
@@ -316,7 +325,8 @@
         queue: Queue[list[Answer]] = context.Queue()
         until = time.monotonic() + CALM_S + self.seconds
         others = context.Process(target=run_others, args=(address, until + CALM_S, queue))
-        flood = context.Process(target=FLOODS[self.kind], args=(address, self.connections, until))
+        seed = (self.seed,) if self.kind == DRAWN else ()
+        flood = context.Process(target=FLOODS[self.kind], args=(address, self.connections, until, *seed))
         others.start()
         time.sleep(CALM_S)
         memory_before_mb = memory_mb(testbed.process.pid)["VmRSS"]
@@ -387,18 +397,22 @@
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--connections", type=int, default=900)
     parser.add_argument("--memory-mb", type=float, default=DEFAULT_MEMORY_MB)
+    parser.add_argument("--first", type=int, default=1, help="the first seed of drawn floods")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--restart", action="store_true", help="kill and start the dispatcher in the middle")
     parser.add_argument("--settle", type=float, default=0.0, help="seconds before the memory is read again")
     parser.add_argument("--log", default="", help="keep the dispatcher's log here")
     arguments = parser.parse_args()
     missed = 0
-    for kind in arguments.kind or FLOODS:
-        print(kind, flush=True)
+    seeds = range(arguments.first, arguments.first + arguments.seeds)
+    for kind, seed in ((kind, seed) for kind in arguments.kind or FLOODS for seed in seeds):
+        print(kind, draw_flood(seed, arguments.connections) if kind == DRAWN else "", flush=True)
         flood = Flood(
             kind,
             arguments.seconds,
             arguments.connections,
             arguments.memory_mb,
+            seed,
             arguments.restart,
             arguments.settle,
         )
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -5,13 +5,15 @@
 Each round starts the program as the platform does, with stand-in workers and a stand-in discovery. Clients
 reuse their connections until the kill, which comes as early as allowed. The seed draws the classes'
 deadlines; workers that hang through the whole stop, refuse jobs or are slow; a pause of discovery; repeated
-reloads; sequences of signals; clients that stop in the middle of a request; and many idle connections. Each
-round prints its seed, which repeats it, and its violations; the exit status is 1 if there were any.
+reloads; sequences of signals; clients that stop in the middle of a request; many idle connections; and floods
+of unsound clients, under which the memory must stay under half of its limit. Each round prints its seed,
+which repeats it, and its violations; the exit status is 1 if there were any.
 """
 
 from __future__ import annotations
 
 import argparse
+import contextlib
 import http.client
 import json
 import os
@@ -27,16 +29,19 @@
 from pathlib import Path
 from typing import Any
 
+from drawn_flood import DrawnFlood, draw_flood
 from soak_history import PARTIAL_REQUEST_TIMEOUT_S, Exchange, History, Outcome, PartialRequest, violations
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
+from tests.process_memory import memory_mb  # noqa: E402
 from tests.standins import PLATFORM_CONFIG, SETTINGS, DispatcherTestbed, WorkerStandIn, wait_until  # noqa: E402
 
 KILL_AFTER_S = 0.7  # the kill follows SIGTERM after at least this plus the longest deadline
 MAX_KILL_DEADLINE_S = 3.0  # a longer deadline counts as this much
 ANSWER_TIMEOUT_S = 30.0
 ACCEPTED = 202  # with any other status a worker returns the job without running it
+FLOOD_CONNECTIONS = 200  # at most
 IDLE_CONNECTIONS = 150  # of the 256 connections that the configuration allows
 EFFECT_BY_CLASS = {"view": "free", "reading": "guarded", "order": "single_shot"}
 RUN_ONCE_CLASSES = ("order",)
@@ -58,6 +63,7 @@
     signals: tuple[int, ...]
     partial_requests: int
     has_idle_connections: bool
+    flood: DrawnFlood | None  # of unsound clients, up to the kill
 
     @property
     def kill_after_s(self) -> float:
@@ -89,6 +95,7 @@
         ),
         partial_requests=rng.choice((0, 0, 2)),
         has_idle_connections=rng.random() < 0.2,
+        flood=draw_flood(seed, FLOOD_CONNECTIONS) if rng.random() < 0.4 else None,
     )
 
 
@@ -216,6 +223,8 @@
             self._start_thread(self._client, number, random.Random(f"{plan.seed} client {number}"))
         for _ in range(plan.partial_requests):
             self._start_thread(self._send_partial_request)
+        if plan.flood is not None:
+            self._start_thread(plan.flood.play, testbed.client_address, self.kill_due.is_set)
         if plan.discovery_pause_s:
             testbed.discovery.paused = True
             self._start_thread(self._resume_discovery)
@@ -286,6 +295,11 @@
         with self.lock:
             self.history.partial_requests.append(PartialRequest(time.monotonic() - started_s, was_ended))
 
+    def _read_memory(self, process: subprocess.Popen[bytes]) -> None:
+        with contextlib.suppress(OSError, KeyError):  # it may just have ended
+            peak_mb = memory_mb(process.pid)["VmHWM"]
+            self.history.peak_memory_mb = max(self.history.peak_memory_mb, peak_mb)
+
     # The stop.
 
     def _send_stop(self, process: subprocess.Popen[bytes]) -> None:
@@ -297,6 +311,7 @@
             time.sleep(self.rng.uniform(0.0, 0.05))
         kill_at_s = first_sigterm_s + self.plan.kill_after_s + self.kill_delay_s
         while process.poll() is None and time.monotonic() < kill_at_s:
+            self._read_memory(process)
             time.sleep(0.005)
         self.kill_due.set()
         self.history.exit_code = process.poll()
--- a/benchmarks/soak_history.py
+++ b/benchmarks/soak_history.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 CLOSE_RACE_S = 0.25  # a connection that closes this soon after a request may not have read it
+MAX_MEMORY_MB = 96.0  # half of the limit
 PARTIAL_REQUEST_TIMEOUT_S = 3.0  # a partial request is answered or closed within this time
 
 
@@ -49,6 +50,7 @@
     log_lines: list[str] = field(default_factory=list)
     exit_code: int | None = None  # None: still running when it was killed
     allowed_delay_s: float = 0.0  # how late the machine may be
+    peak_memory_mb: float = 0.0
 
 
 def violations(history: History, run_once: Iterable[str]) -> list[str]:
@@ -110,3 +112,5 @@
             yield f"logged: {line[:300]}"
     if history.exit_code not in (None, 0):
         yield f"exit status {history.exit_code}"
+    if history.peak_memory_mb > MAX_MEMORY_MB:
+        yield f"{history.peak_memory_mb:.1f} MB of memory at the peak, more than {MAX_MEMORY_MB:.0f}"
