End connections that linger before idle ones, where they are the largest group

Change: the largest of the three groups gives way; a lingering connection that is ended counts as closed until the loop has reported it.

--- a/grebestack/transport/acceptor.py
+++ b/grebestack/transport/acceptor.py
@@ -38,9 +38,10 @@
 class Acceptor:
     """Makes the protocol objects of new connections and limits how many there are.
 
-    Beyond the limit, each new connection ends the oldest of the larger group: of those that are idle, or of
-    those that await a request. So many silent connections displace each other, not the clients that are
-    served. Some connections linger beyond the limit until their clients have read why they end.
+    Beyond the limit, each new connection ends the oldest of the largest group: of those that are idle, that
+    await a request, or that linger after their last response. So many silent or refused connections displace
+    each other, not the clients that are served. Some linger beyond the limit until their clients have read
+    why they end.
     """
 
     def __init__(
@@ -85,7 +86,10 @@
     def _make_room_for(self, connection: Connection) -> None:
         """End another connection for a new one; beyond the margin the new one is ended, unread."""
         group = self.awaiting_request if len(self.awaiting_request) > len(self.idle) else self.idle
-        if group:
+        lingering_count = len(self.lingering) - len(self.closed)
+        if lingering_count > len(group):
+            self._end_longest_lingering()
+        elif group:
             next(iter(group)).evict(EndReason.CONNECTION_LIMIT)
         else:
             connection.over_limit = True
@@ -99,9 +103,9 @@
 
     def _end_longest_lingering(self) -> None:
         """End the connection that has lingered for the longest, apart from those that are closed already."""
-        lingering = next((c for c in self.lingering if c.lingering), None)
+        lingering = next((c for c in self.lingering if c not in self.closed), None)
         if lingering is not None:
-            del self.lingering[lingering]
+            self.closed.add(lingering)
             lingering.disconnect(EndReason.CONNECTION_LIMIT)
 
     def _log_dropped(self) -> None:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -332,6 +332,19 @@
     assert len(refused) > 800, "most make room in time, and are told why"
 
 
+def test_connections_that_linger_are_ended_before_idle_ones() -> None:
+    # Guards clients that are served: refused ones, which only have to read why, must not push them out.
+    acceptor = Acceptor(RecordingHandler(), max_connections=64)
+    served = [FakeTransport(acceptor()) for _ in range(16)]
+    for transport in served:
+        transport.protocol.data_received(SMALL_REQUEST)
+    for _ in range(300):
+        transport = FakeTransport(acceptor())
+        if not transport.closed:
+            transport.protocol.data_received(b"no http")
+    assert not any(transport.closed or transport.write_closed for transport in served)
+
+
 # Turns of the event loop.
 
 
