Split the HTTP client by concern, and hold transport to the limits of its modules

Ruled out: a change of behaviour; constants that tests set moved with their users (connection_pool.INITIAL_ROUND_TRIP_S).

--- a/grebestack/consul/source.py
+++ b/grebestack/consul/source.py
@@ -21,7 +21,8 @@
 from grebestack.core.api import ListKind
 from grebestack.routing.interfaces import Clock, Timer, WorkerListReceiver
 from grebestack.routing.worker_table import WorkerEndpoint
-from grebestack.transport.client import ConnectionPools, Exchange, Response
+from grebestack.transport.client import Exchange, Response
+from grebestack.transport.connection_pool import ConnectionPools
 
 log = logging.getLogger(__name__)
 TIMEOUT_MARGIN_S = 5.0  # a query times out this long after the end of its wait
--- a/grebestack/program/appliance.py
+++ b/grebestack/program/appliance.py
@@ -28,7 +28,7 @@
 from grebestack.protocol.membership_adapter import MembershipAdapter
 from grebestack.routing.engine import Engine
 from grebestack.routing.interfaces import Clock, WorkerListReceiver
-from grebestack.transport.client import ConnectionPools
+from grebestack.transport.connection_pool import ConnectionPools
 
 log = logging.getLogger(__name__)
 _RETENTION_INTERVAL_MS = 3_600_000.0
--- a/grebestack/program/cluster_member.py
+++ b/grebestack/program/cluster_member.py
@@ -26,7 +26,7 @@
 from grebestack.program.config.model import ClusterConfig, Config
 from grebestack.program.metrics_exporter import MetricsExporter
 from grebestack.routing.interfaces import WorkerListReceiver
-from grebestack.transport.client import ConnectionPools
+from grebestack.transport.connection_pool import ConnectionPools
 
 if TYPE_CHECKING:
     from grebestack.program.config_updates import ConfigUpdates
--- a/grebestack/program/config_reload.py
+++ b/grebestack/program/config_reload.py
@@ -19,7 +19,7 @@
     from grebestack.program.worker_sources import WorkerSources
     from grebestack.protocol.platform import PlatformApi
     from grebestack.routing.engine import Engine
-    from grebestack.transport.client import ConnectionPools
+    from grebestack.transport.connection_pool import ConnectionPools
 
 log = logging.getLogger(__name__)
 # Fields that need a restart, and their names in logs and responses.
--- a/grebestack/program/dispatcher.py
+++ b/grebestack/program/dispatcher.py
@@ -44,7 +44,8 @@
 from grebestack.routing.interfaces import Clock
 from grebestack.routing.worker_table import WorkerTable
 from grebestack.transport.acceptor import Acceptor
-from grebestack.transport.client import Address, ConnectionPools
+from grebestack.transport.client import Address
+from grebestack.transport.connection_pool import ConnectionPools
 
 if TYPE_CHECKING:
     from grebestack.jobs.service import JobService
--- a/grebestack/program/metrics_exporter.py
+++ b/grebestack/program/metrics_exporter.py
@@ -20,7 +20,8 @@
 from grebestack.program.cluster_task import TaskRunner
 from grebestack.program.config.model import MetricsExportConfig
 from grebestack.routing.interfaces import Clock
-from grebestack.transport.client import ConnectionPools, Response
+from grebestack.transport.client import Response
+from grebestack.transport.connection_pool import ConnectionPools
 
 log = logging.getLogger(__name__)
 MAX_TICK_INTERVAL_MS = 1000.0
--- a/grebestack/program/traffic_log.py
+++ b/grebestack/program/traffic_log.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from grebestack.routing.engine import Engine
     from grebestack.transport.acceptor import Acceptor
-    from grebestack.transport.client import ConnectionPools
+    from grebestack.transport.connection_pool import ConnectionPools
 
 log = logging.getLogger(__name__)
 STATISTICS_INTERVAL_S = 5.0
--- a/grebestack/program/worker_sources.py
+++ b/grebestack/program/worker_sources.py
@@ -13,7 +13,7 @@
 from grebestack.protocol.worker_list import WorkerListReader
 from grebestack.routing.engine import Engine
 from grebestack.routing.interfaces import WorkerListReceiver
-from grebestack.transport.client import ConnectionPools
+from grebestack.transport.connection_pool import ConnectionPools
 
 if TYPE_CHECKING:
     from grebestack.consul.source import ConsulSource
--- a/grebestack/protocol/discovery.py
+++ b/grebestack/protocol/discovery.py
@@ -16,7 +16,8 @@
 from grebestack.protocol.worker_list import JsonObjectReader, WorkerListReader
 from grebestack.routing.interfaces import WorkerListReceiver
 from grebestack.routing.worker_table import WorkerEndpoint
-from grebestack.transport.client import Address, LineStream
+from grebestack.transport.client import Address
+from grebestack.transport.line_stream import LineStream
 
 log = logging.getLogger(__name__)
 
--- a/grebestack/protocol/http_workers.py
+++ b/grebestack/protocol/http_workers.py
@@ -16,7 +16,8 @@
 from grebestack.routing.engine import Engine
 from grebestack.routing.interfaces import Clock
 from grebestack.routing.requests import Attempt, AttemptStage, InFlightAttempt
-from grebestack.transport.client import Address, ConnectionPool, ConnectionPools, Exchange, Response
+from grebestack.transport.client import Address, Exchange, Response
+from grebestack.transport.connection_pool import ConnectionPool, ConnectionPools
 
 log = logging.getLogger(__name__)
 OUTCOME_BY_FINAL_STATE = {
--- a/grebestack/transport/acceptor.py
+++ b/grebestack/transport/acceptor.py
@@ -10,9 +10,10 @@
 from enum import Enum
 
 from grebestack.transport.end_reason import EndReason
+from grebestack.transport.interfaces import Handler
 from grebestack.transport.memory_step import MemoryStep
 from grebestack.transport.refusal_log import RefusalLog
-from grebestack.transport.server import READ_BUFFER_BYTES, Connection, Handler
+from grebestack.transport.server import READ_BUFFER_BYTES, Connection
 from grebestack.transport.turns import TurnScheduler
 
 log = logging.getLogger(__name__)
@@ -45,7 +46,7 @@
     """
 
     def __init__(
-        self, handler: Handler, max_connections: int, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+        self, handler: Handler[Connection], max_connections: int, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
     ) -> None:
         self.handler, self.max_connections, self.max_body_bytes = handler, max_connections, max_body_bytes
         self.margin = max_connections // 8  # beyond the limit while all are busy: for call-backs, not jobs
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -6,14 +6,14 @@
 import logging
 import os
 from collections import deque
-from collections.abc import Iterable
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 from grebestack.transport.end_reason import REFUSAL_STATUS, EndReason
 from grebestack.transport.http_message import HttpRequest, encode_response
+from grebestack.transport.interfaces import ConnectionOwner
 from grebestack.transport.peer_state import has_peer_closed
 from grebestack.transport.request_parser import RequestParser
-from grebestack.transport.turns import ReadPriority, TurnScheduler
+from grebestack.transport.turns import ReadPriority
 
 log = logging.getLogger(__name__)
 READ_BUFFER_BYTES = 16 * 1024
@@ -27,69 +27,6 @@
 MAX_DISCARDED_BYTES = 256 * 1024  # from a client that goes on sending after the last response
 
 
-class Handler(Protocol):
-    """Handles requests. Each needs one call of `Connection.respond`, at once or later."""
-
-    def on_request(self, connection: Connection, request: HttpRequest) -> None:
-        """A complete request has arrived."""
-
-    def on_disconnect(self, connection: Connection) -> None:
-        """The client has closed the connection before the response to its request."""
-
-
-class ConnectionOwner(Protocol):
-    """What a connection needs of the acceptor that made it, and tells it."""
-
-    handler: Handler
-    max_body_bytes: int
-    read_buffer: memoryview
-    turns: TurnScheduler
-    connections: set[Connection]
-
-    @property
-    def idle_connections(self) -> Iterable[Connection]:
-        """Those that wait for their next request."""
-
-    def has_room_for_job(self) -> bool:
-        """Whether a new job may be taken, if incomplete requests are refused first."""
-
-    def on_opened(self, connection: Connection) -> None:
-        """A connection has opened."""
-
-    def on_received(self, size: int) -> None:
-        """A connection has read data."""
-
-    def on_request_begun(self, connection: Connection) -> None:
-        """Part of a request has arrived."""
-
-    def on_busy(self, connection: Connection) -> None:
-        """A connection has a request to be handled."""
-
-    def on_idle(self, connection: Connection) -> None:
-        """A connection waits for its next request."""
-
-    def on_lingering(self, connection: Connection) -> None:
-        """A connection has its last response, or needs none, and ends once the client has read it."""
-
-    def on_unread(self, connection: Connection) -> None:
-        """A response has been written that the client has not read yet."""
-
-    def on_closed(self, connection: Connection) -> None:
-        """A connection has ended."""
-
-    def on_held_bytes_changed(self, change: int) -> None:
-        """The requests of a connection hold more memory, or less."""
-
-    def limit_held_bytes(self, newest: Connection) -> None:
-        """Refuse incomplete requests while they hold too much memory."""
-
-    def is_draining(self, connection: Connection) -> bool:
-        """Whether a connection ends with its next response."""
-
-    def on_refused(self, reason: EndReason, status: int, call_id: bytes, held_bytes: int) -> None:
-        """A request is refused that has not been handled."""
-
-
 class Connection(asyncio.BufferedProtocol):
     """One client's connection.
 
@@ -98,7 +35,7 @@
     that the client has closed the connection. Reading pauses for a turn of the loop after many requests.
     """
 
-    def __init__(self, acceptor: ConnectionOwner) -> None:
+    def __init__(self, acceptor: ConnectionOwner[Connection]) -> None:
         self.acceptor = acceptor
         self.transport: asyncio.Transport | None = None
         self.parser = RequestParser(self, acceptor.max_body_bytes)
--- a/tests/loop_dispatcher.py
+++ b/tests/loop_dispatcher.py
@@ -22,7 +22,7 @@
 from grebestack.routing.engine import Engine
 from grebestack.routing.worker_table import WorkerEndpoint, WorkerTable
 from grebestack.transport.acceptor import Acceptor
-from grebestack.transport.client import ConnectionPool, ConnectionPools
+from grebestack.transport.connection_pool import ConnectionPool, ConnectionPools
 from tests.policy_driver import BASE, IDEMPOTENT, IDEMPOTENT_WITH_KEY, NOT_IDEMPOTENT
 
 WAIT_TIMEOUT_S = 20.0  # a condition that is not met by then is taken to be never met
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -20,6 +20,7 @@
 
 from grebestack.transport import client, server
 from grebestack.transport.acceptor import Acceptor, DrainScope
+from grebestack.transport.connection_pool import ConnectionPool, ConnectionPools
 from grebestack.transport.http_message import HttpRequest
 
 
@@ -261,16 +262,16 @@
         self.call = None
 
 
-class FakePools(client.ConnectionPools):
+class FakePools(ConnectionPools):
     """Pools whose connections open or fail when the model says."""
 
     def __init__(self, max_connections: int) -> None:
-        self.connecting: list[client.ConnectionPool] = []
+        self.connecting: list[ConnectionPool] = []
         self.fake_loop = FakeLoop()
         super().__init__(cast(asyncio.AbstractEventLoop, self.fake_loop), max_connections, 1.0, 6.0)
         self.fake_loop.timers.clear()  # drops the sweep's timer
 
-    def open_connection(self, pool: client.ConnectionPool) -> None:
+    def open_connection(self, pool: ConnectionPool) -> None:
         self.connecting.append(pool)
 
 
@@ -281,7 +282,7 @@
         super().__init__()
         self.pools = FakePools(max_connections=3)
         self.transports: list[FakeTransport] = []
-        self.exchanges: list[tuple[client.ConnectionPool, RecordingExchange]] = []
+        self.exchanges: list[tuple[ConnectionPool, RecordingExchange]] = []
         self.aborted: list[RecordingExchange] = []
         self.wanted = True
 
@@ -721,9 +722,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     if fault == "sends twice":
-        on_closed = client.ConnectionPool.on_closed
+        on_closed = ConnectionPool.on_closed
 
-        def resend(self: client.ConnectionPool, connection: client.Connection) -> None:
+        def resend(self: ConnectionPool, connection: client.Connection) -> None:
             if connection.exchange is not None:
                 self.waiting.append(connection.exchange)
             on_closed(self, connection)
@@ -731,10 +732,10 @@
         monkeypatch.setattr(
             client.Connection, "detach_exchange", lambda self: (self.exchange, bool(self.delayed_byte))
         )
-        monkeypatch.setattr(client.ConnectionPool, "on_closed", resend)
+        monkeypatch.setattr(ConnectionPool, "on_closed", resend)
     elif fault == "opens too many":
-        monkeypatch.setattr(client.ConnectionPools, "make_room", lambda self: True)
+        monkeypatch.setattr(ConnectionPools, "make_room", lambda self: True)
     else:
-        monkeypatch.setattr(client.ConnectionPool, "on_connect_failed", lambda self: None)
+        monkeypatch.setattr(ConnectionPool, "on_connect_failed", lambda self: None)
     with pytest.raises((AssertionError, ExceptionGroup)):
         run_state_machine_as_test(PoolModel, settings=FIND_FAULT)
--- a/tests/test_hard_peers.py
+++ b/tests/test_hard_peers.py
@@ -14,6 +14,7 @@
 from grebestack.protocol import discovery, worker_list
 from grebestack.transport import client, server
 from grebestack.transport.acceptor import LINGER_TIMEOUT_S, REQUEST_TIMEOUT_S, Acceptor
+from grebestack.transport.line_stream import LineStream
 from tests.process_memory import taken_bytes
 from tests.test_connections import FakeTransport, RecordingHandler
 
@@ -73,7 +74,7 @@
 @pytest.mark.parametrize("size", [1, 2, 5, 1000])
 def test_the_lines_of_a_list_are_the_same_however_the_data_is_split(size: int) -> None:
     lines: list[bytes] = []
-    transport = FakeTransport(client.LineStream(b"GET", lines.append, lambda: None))
+    transport = FakeTransport(LineStream(b"GET", lines.append, lambda: None))
     for at in range(0, len(LIST_RESPONSE), size):
         transport.protocol.data_received(LIST_RESPONSE[at : at + size])
     assert lines == [b"ab", b"cd", b""] and not transport.closed
@@ -81,8 +82,8 @@
 
 @pytest.mark.parametrize("begin", [b"HTTP/1.1 200 OK\r\nX-Endless: ", LIST_RESPONSE + b"ffffffff\r\n"])
 def test_an_endless_line_or_head_of_a_list_is_aborted(begin: bytes, monkeypatch: Any) -> None:
-    monkeypatch.setattr(client.LineStream, "MAX_LINE_BYTES", 10_000)
-    transport = FakeTransport(client.LineStream(b"GET", lambda line: None, lambda: None))
+    monkeypatch.setattr(LineStream, "MAX_LINE_BYTES", 10_000)
+    transport = FakeTransport(LineStream(b"GET", lambda line: None, lambda: None))
     transport.protocol.data_received(begin)
     for _ in range(11):
         if not transport.closed:
@@ -176,7 +177,7 @@
 def test_a_line_of_discovery_in_small_pieces_takes_no_more_memory_than_its_bytes() -> None:
     # Guards against a long list that is sent in small chunks.
     size = 60_000
-    stream = client.LineStream(b"GET", lambda line: None, lambda: None)
+    stream = LineStream(b"GET", lambda line: None, lambda: None)
     transport = FakeTransport(stream)
     data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nxy\r\n" * (size // 2)
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -13,7 +13,7 @@
 from grebestack.protocol.settings import parse_settings, warn_unknown_discovery
 from grebestack.protocol.worker_list import JsonObjectReader, WorkerListReader
 from grebestack.routing.worker_table import WorkerTable
-from grebestack.transport.client import LineStream
+from grebestack.transport.line_stream import LineStream
 
 
 def entry(
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -19,6 +19,7 @@
     "endpoint_watch",
     "hot_restart",
     "program",
+    "transport",
 )
 MODULES = sorted(path for package in PACKAGES for path in (PACKAGE / package).rglob("*.py"))
 FUNCTIONS = ast.FunctionDef | ast.AsyncFunctionDef
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -13,6 +13,7 @@
 from grebestack.routing.requests import Attempt, AttemptStage
 from grebestack.routing.worker_table import WorkerEndpoint
 from grebestack.transport import client as transport
+from grebestack.transport import connection_pool
 from tests.loop_dispatcher import WAIT_TIMEOUT_S, Client, InProcessDispatcher, Peer, run_with_dispatcher
 
 TCP_CLOSED = 7  # Linux's number of this TCP state
@@ -53,7 +54,7 @@
     cancel: bool,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(transport, "INITIAL_ROUND_TRIP_S", 0.2)  # delays the last byte for 0.3 s
+    monkeypatch.setattr(connection_pool, "INITIAL_ROUND_TRIP_S", 0.2)  # delays the last byte for 0.3 s
 
     async def test(dispatcher: InProcessDispatcher) -> None:
         client, (peer,) = dispatcher.client(), dispatcher.peers
@@ -189,7 +190,7 @@
             lambda: any(b"X-Call-Id: a" in data for data in idle.peer.complete_requests())
         )
         idle.peer.reset(0)
-        pool.round_trip_s = transport.INITIAL_ROUND_TRIP_S
+        pool.round_trip_s = connection_pool.INITIAL_ROUND_TRIP_S
         await assert_runs_once_at_the_other_worker(dispatcher, idle)
 
     run_with_dispatcher(test, worker_count=2)
@@ -371,7 +372,7 @@
 
 def test_a_202_before_the_last_byte_is_written_does_not_count(monkeypatch: pytest.MonkeyPatch) -> None:
     """The rest of an earlier response: the request counted as accepted and was awaited until its deadline."""
-    monkeypatch.setattr(transport, "INITIAL_ROUND_TRIP_S", 0.2)
+    monkeypatch.setattr(connection_pool, "INITIAL_ROUND_TRIP_S", 0.2)
 
     async def test(dispatcher: InProcessDispatcher) -> None:
         client, peers = dispatcher.client(), dispatcher.peers
