--- a/grebestack/transport/acceptor.py
+++ b/grebestack/transport/acceptor.py
@@ -48,6 +48,7 @@
     def __init__(
         self, handler: Handler[Connection], max_connections: int, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
     ) -> None:
+        """Accept nothing yet; `max_connections` are open at once, some more linger."""
         self.handler, self.max_connections, self.max_body_bytes = handler, max_connections, max_body_bytes
         self.margin = max_connections // 8  # beyond the limit while all are busy: for call-backs, not jobs
         self.connections: set[Connection] = set()
@@ -70,6 +71,7 @@
         self.hand_over_idle: Callable[[Connection, bool], bool] | None = None  # see `hand_over`
 
     def __call__(self) -> Connection:
+        """Make the connection that the event loop has accepted."""
         return Connection(self)
 
     def on_opened(self, connection: Connection) -> None:
--- a/grebestack/transport/client.py
+++ b/grebestack/transport/client.py
@@ -99,6 +99,7 @@
     """One connection: opening, idle, busy with one exchange, or closed. It sends no request twice."""
 
     def __init__(self, pool: ConnectionOwner) -> None:
+        """Belong to a pool, not open yet."""
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
@@ -112,6 +113,7 @@
         self.connect_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is open."""
         self.transport = cast(asyncio.Transport, transport)
         self.was_connected = True
         if self.connect_timer is not None:
@@ -162,6 +164,7 @@
         return exchange, not_sent
 
     def data_received(self, data: bytes) -> None:
+        """Part of a response has arrived, or something that nobody asked for."""
         if self.exchange is None or self.delayed_byte:
             # Data without a complete request, such as the rest of an earlier response: the connection can't
             # be trusted with a request. A delayed last byte is never written.
@@ -201,9 +204,11 @@
     # The parser's callbacks. If two responses to one request arrive together, the second one is ignored.
 
     def on_message_begin(self) -> None:
+        """A response begins; one after a complete response is in excess."""
         self.has_excess = self.complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """A field of the head or the trailers is complete."""
         self.header_fields += 1
         if self.header_fields > MAX_HEADER_FIELDS:
             self.abort()
@@ -211,11 +216,13 @@
             self.response.headers[name.lower()] = value.strip(b" \t")  # the parser keeps trailing blanks
 
     def on_headers_complete(self) -> None:
+        """The head is complete."""
         if not self.complete:
             self.response.status = self.parser.get_status_code()
             self.head_complete = self.response.status >= 200
 
     def on_message_complete(self) -> None:
+        """The response is complete."""
         if self.complete:
             return
         if self._is_body_too_long():
@@ -227,6 +234,7 @@
             self.response.body = self.body.take()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended: its exchange ends with it."""
         self.transport = None
         exchange, not_sent = self.detach_exchange()
         quick = time.monotonic() - self.started_at < STALE_RESET_S
--- a/grebestack/transport/connection_pool.py
+++ b/grebestack/transport/connection_pool.py
@@ -20,6 +20,7 @@
     """The connections to one address. Exchanges wait here, in order, until a connection is available."""
 
     def __init__(self, pools: ConnectionPools, address: Address) -> None:
+        """Begin without connections."""
         self.pools, self.address = pools, address
         self.idle: list[Connection] = []  # the longest idle first
         self.connections: set[Connection] = set()
@@ -157,6 +158,7 @@
         idle_s: float,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     ) -> None:
+        """Begin without pools; a connection is kept for `idle_s` at most."""
         self.loop, self.max_connections, self.max_body_bytes = loop, max_connections, max_body_bytes
         self.connect_timeout_s, self.idle_s = connect_timeout_s, idle_s
         self.keep_alive_s = idle_s  # a connection that was idle longer is not used again; at most `idle_s`
--- a/grebestack/transport/line_stream.py
+++ b/grebestack/transport/line_stream.py
@@ -19,6 +19,7 @@
     def __init__(
         self, request: bytes, on_line: Callable[[bytes], None], on_ended: Callable[[], None]
     ) -> None:
+        """Send the request once connected; pass on each line, and the end."""
         self.request, self.on_line, self.on_ended = request, on_line, on_ended
         self.parser = httptools.HttpResponseParser(self)
         self.line = BodyBuffer()  # the incomplete one
@@ -26,10 +27,12 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is open."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.write(self.request)
 
     def data_received(self, data: bytes) -> None:
+        """Part of the response has arrived."""
         self.pending_bytes += len(data)
         if self.pending_bytes > self.MAX_LINE_BYTES:  # a line, a header or a chunk's length without end
             self.close()
@@ -40,6 +43,7 @@
             self.close()
 
     def on_body(self, body: bytes) -> None:
+        """Part of the body has arrived."""
         if self.parser.get_status_code() != 200:
             self.close()
             return
@@ -55,9 +59,11 @@
             self.on_line(line)
 
     def on_message_complete(self) -> None:
+        """The response has ended, though it should not."""
         self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended."""
         self.transport = None
         self.on_ended()
 
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -36,6 +36,7 @@
     """
 
     def __init__(self, acceptor: ConnectionOwner[Connection]) -> None:
+        """Belong to an acceptor, not open yet."""
         self.acceptor = acceptor
         self.transport: asyncio.Transport | None = None
         self.parser = RequestParser(self, acceptor.max_body_bytes)
@@ -81,6 +82,7 @@
     # asyncio's callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is open, or handed over by another process."""
         self.transport = cast(asyncio.Transport, transport)
         self.acceptor.on_opened(self)
         if self.adopted_idle:
@@ -93,9 +95,11 @@
             self.respond(*self.early_response)
 
     def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections read into, one after the other."""
         return self.acceptor.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
+        """Data has been read: handle a first step of it, or leave it to a later turn."""
         data = self.acceptor.read_buffer[:nbytes]
         self.acceptor.on_received(nbytes)
         self.spent_bytes += READ_COST_BYTES
@@ -105,9 +109,11 @@
             self._defer(bytes(data))
 
     def eof_received(self) -> bool:
+        """The client has closed its side: it counts as gone."""
         return False  # a client that has closed its side counts as gone
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended."""
         self.transport = None
         self.closing, self.is_opening = True, False
         self.end_reason = self.end_reason or (EndReason.PEER_RESET if exc else EndReason.PEER_CLOSED)
@@ -121,9 +127,11 @@
             self.acceptor.handler.on_disconnect(self)
 
     def pause_writing(self) -> None:
+        """The client does not read its responses."""
         self.writing_paused = True
 
     def resume_writing(self) -> None:
+        """The client reads its responses again."""
         self.writing_paused = False
         self.count_unread_bytes()
         self._handle_next()
@@ -196,6 +204,7 @@
     # What the parser tells.
 
     def on_request_received(self, request: HttpRequest) -> None:
+        """A request is complete: handle it, or queue it behind another."""
         self.queued.append(request)
         self._count_held_bytes()
         if len(self.queued) > MAX_PIPELINED_REQUESTS:
@@ -204,6 +213,7 @@
             self._handle_next()
 
     def on_continue_expected(self) -> None:
+        """The client waits for an interim response before it sends the body."""
         if not self.busy and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
