--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -24,7 +24,7 @@
 from tests.loop_dispatcher import InProcessDispatcher, run_with_dispatcher, settings
 from tests.ports import reserved_port
 from tests.process_memory import memory_mb, taken_bytes
-from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed, wait_until
+from tests.standins import PLATFORM_CONFIG, Address, DispatcherTestbed, reports_ready, wait_until
 from tests.test_connections import FakeTransport, RecordingHandler, SilentHandler
 
 MEMORY_MB = 192
@@ -241,6 +241,23 @@
     wait_until(lambda: memory_mb(testbed.process.pid)["VmRSS"] <= before_mb + SETTLED_GROWTH_MB)
 
 
+def test_a_flood_during_an_upgrade_leaves_both_processes_under_one_limit(
+    testbed: DispatcherTestbed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against two processes that each take what one may.
+    monkeypatch.setitem(PLATFORM_CONFIG, "limits", {"sockets": 1024, "memory_mb": MEMORY_MB})
+    testbed.add_worker("s-1")
+    first_address = testbed.start_on_shared_socket()
+    wait_until(lambda: reports_ready(first_address))
+    is_flood_sent = testbed.in_background(lambda: flood(testbed.client_address, FLOODS["chunks of 8"]))
+    second_address = testbed.start_on_shared_socket()
+    wait_until(lambda: reports_ready(second_address))
+    is_flood_sent()
+    flood(testbed.client_address, FLOODS["half a body"])
+    peaks_mb = [memory_mb(process.pid).get("VmHWM", 0.0) for process in testbed.processes]
+    assert testbed.is_ready() and sum(peaks_mb) < MEMORY_MB
+
+
 def without_account(testbed: DispatcherTestbed) -> list[str]:
     """The arguments of a dispatcher that does not count what requests hold."""
     module = testbed.folder / "dispatcher_without_account.py"
