--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -113,7 +113,7 @@
 
     def eof_received(self) -> bool:
         """The client has closed its side: it counts as gone."""
-        return False  # a client that has closed its side counts as gone
+        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection has ended."""
@@ -121,6 +121,7 @@
         self.closing, self.is_opening = True, False
         self.end_reason = self.end_reason or (EndReason.PEER_RESET if exc else EndReason.PEER_CLOSED)
         self.unparsed, self.unparsed_from = b"", 0
+        self.current_bytes = self.unread_bytes = 0
         self._drop_unhandled()
         self.parser.close()
         self._set_held_bytes(0)
