Let each waiting connection have a step before another that has just had one

Ruled out: a cost for complete requests (ordinary clients have those too). Change: a connection that is deferred again goes behind all that have not had a step; each one gets one step a turn, a longer one where nobody else waits.

--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -183,15 +183,15 @@
         self.transport.pause_reading()
         self.acceptor.turns.defer(self)
 
-    def continue_reading(self) -> None:
-        """Go on with a step of what was deferred, and read again once all of it is parsed."""
+    def continue_reading(self, others_wait: bool) -> None:
+        """Go on with what was deferred, a step if others wait, and read again once all of it is parsed."""
         if self.transport is None or self.transport.is_closing():
             self.unparsed, self.unparsed_from = b"", 0
             return
-        end = self.unparsed_from + MAX_STEP_BYTES
+        end = self.unparsed_from + MAX_STEP_BYTES if others_wait else len(self.unparsed)
         self.unparsed_from += self._read(memoryview(self.unparsed)[self.unparsed_from : end])
         if self.unparsed_from < len(self.unparsed):
-            self.acceptor.turns.defer(self)
+            self.acceptor.turns.defer_again(self)
             return
         self.unparsed, self.unparsed_from = b"", 0
         self._count_held_bytes()
--- a/grebestack/transport/turns.py
+++ b/grebestack/transport/turns.py
@@ -18,7 +18,7 @@
 
     KNOWN = 0  # it has had a response, and its next request has cost little so far
     NEW = 1
-    COSTLY = 2  # its request has cost much and is still incomplete
+    COSTLY = 2  # its request has cost much and is still incomplete, or it has just had its turn
 
 
 class DeferredReader(Protocol):
@@ -28,8 +28,8 @@
     def read_priority(self) -> ReadPriority:
         """Its place among the others when it is deferred."""
 
-    def continue_reading(self) -> None:
-        """Handle a step more, and defer the rest again if it is too much."""
+    def continue_reading(self, others_wait: bool) -> None:
+        """Handle a step more, a short one if others wait, and defer the rest again if it is too much."""
 
 
 class TurnScheduler:
@@ -74,6 +74,11 @@
         self.deferred[connection.read_priority].append(connection)
         self._schedule()
 
+    def defer_again(self, connection: DeferredReader) -> None:
+        """Continue a connection that has just been continued, after those that have not."""
+        self.deferred[ReadPriority.COSTLY].append(connection)
+        self._schedule()
+
     def _schedule(self) -> None:
         if not self.is_scheduled:
             self.is_scheduled = True
@@ -84,20 +89,18 @@
         self.turns += 1
         until_s = time.monotonic() + DEFERRED_BUDGET_S
         try:
-            costly = self.deferred[ReadPriority.COSTLY]
-            if costly and self.turns % COSTLY_TURN_INTERVAL == 0:
-                costly.popleft().continue_reading()
-            for _ in range(len(self) - len(costly)):
-                self._next_prompt().continue_reading()
-                if time.monotonic() >= until_s:
-                    return
-            while costly:
-                costly.popleft().continue_reading()
+            is_costly_first = self.turns % COSTLY_TURN_INTERVAL == 0
+            for _ in range(len(self)):
+                self._next(is_costly_first).continue_reading(others_wait=len(self) > 0)
+                is_costly_first = False
                 if time.monotonic() >= until_s:
                     return
         finally:
             if len(self):
                 self._schedule()
 
-    def _next_prompt(self) -> DeferredReader:
-        return (self.deferred[ReadPriority.KNOWN] or self.deferred[ReadPriority.NEW]).popleft()
+    def _next(self, is_costly_first: bool) -> DeferredReader:
+        costly = self.deferred[ReadPriority.COSTLY]
+        if is_costly_first and costly:
+            return costly.popleft()
+        return next(waiting for waiting in self.deferred.values() if waiting).popleft()
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -331,6 +331,28 @@
     assert dropped == sorted(dropped, reverse=True) and 20 < sum(dropped) < 40 and not acceptor.is_memory_full
 
 
+def test_a_new_connection_is_read_beside_a_known_one_that_never_stops_sending(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards call-backs on new connections: small requests at full speed must not always come first.
+    monkeypatch.setattr(turns, "READ_BUDGET_S", 0.0)
+    monkeypatch.setattr(turns, "DEFERRED_BUDGET_S", 0.0)
+    handler = RecordingHandler()
+    acceptor = Acceptor(handler, max_connections=100)
+
+    async def test() -> None:
+        flood, client = FakeTransport(acceptor()), FakeTransport(acceptor())
+        flood.protocol.data_received(SMALL_REQUEST)
+        receive(acceptor, flood, SMALL_REQUEST * 800)
+        receive(acceptor, client, SMALL_REQUEST.replace(b"/x", b"/new"))
+        async with asyncio.timeout(20.0):
+            while handler.requests[-1].target != b"/new":
+                await asyncio.sleep(0)
+        assert len(handler.requests) <= 3 * MAX_REQUESTS_AT_ONCE
+
+    asyncio.run(test())
+
+
 # Connections.
 
 
