Tests of floods: one set-up for unread responses, and one for turns of a single step

Cause: the same lines stood in two and three tests; one test stood under another heading. Ruled out: changed assertions (none).

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -296,8 +296,8 @@
 # Responses.
 
 
-def test_responses_that_nobody_reads_count_as_held_memory() -> None:
-    # Guards memory: each connection's unread response is bounded, and all of them together must be.
+def unread_responses() -> tuple[Acceptor, list[FakeTransport]]:
+    """Forty connections whose large responses are not read, and may hold a megabyte in all."""
     acceptor = Acceptor(SilentHandler(), max_connections=100)
     acceptor.set_max_held_bytes(1_000_000)
     transports = [FakeTransport(acceptor()) for _ in range(40)]
@@ -305,6 +305,12 @@
         transport.protocol.data_received(SMALL_REQUEST)
         transport.unread = True
         connection_of(transport).respond(200, BODY)
+    return acceptor, transports
+
+
+def test_responses_that_nobody_reads_count_as_held_memory() -> None:
+    # Guards memory: each connection's unread response is bounded, and all of them together must be.
+    acceptor, transports = unread_responses()
     assert acceptor.held_bytes >= 40 * len(BODY) and acceptor.is_memory_full
     for transport in transports:
         transport.read_all()
@@ -315,13 +321,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against clients that keep all memory by not reading; those that have waited longest go first.
-    acceptor = Acceptor(SilentHandler(), max_connections=100)
-    acceptor.set_max_held_bytes(1_000_000)
-    transports = [FakeTransport(acceptor()) for _ in range(40)]
-    for transport in transports:
-        transport.protocol.data_received(SMALL_REQUEST)
-        transport.unread = True
-        connection_of(transport).respond(200, BODY)
+    acceptor, transports = unread_responses()
     acceptor.sweep()
     assert not any(transport.closed for transport in transports)
     now_s = time.monotonic()
@@ -331,28 +331,6 @@
     assert dropped == sorted(dropped, reverse=True) and 20 < sum(dropped) < 40 and not acceptor.is_memory_full
 
 
-def test_a_new_connection_is_read_beside_a_known_one_that_never_stops_sending(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    # Guards call-backs on new connections: small requests at full speed must not always come first.
-    monkeypatch.setattr(turns, "READ_BUDGET_S", 0.0)
-    monkeypatch.setattr(turns, "DEFERRED_BUDGET_S", 0.0)
-    handler = RecordingHandler()
-    acceptor = Acceptor(handler, max_connections=100)
-
-    async def test() -> None:
-        flood, client = FakeTransport(acceptor()), FakeTransport(acceptor())
-        flood.protocol.data_received(SMALL_REQUEST)
-        receive(acceptor, flood, SMALL_REQUEST * 800)
-        receive(acceptor, client, SMALL_REQUEST.replace(b"/x", b"/new"))
-        async with asyncio.timeout(20.0):
-            while handler.requests[-1].target != b"/new":
-                await asyncio.sleep(0)
-        assert len(handler.requests) <= 3 * MAX_REQUESTS_AT_ONCE
-
-    asyncio.run(test())
-
-
 # Connections.
 
 
@@ -387,6 +365,13 @@
 # Turns of the event loop.
 
 
+@pytest.fixture
+def one_step_a_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nothing is read at once, and one connection is continued in each turn."""
+    monkeypatch.setattr(turns, "READ_BUDGET_S", 0.0)
+    monkeypatch.setattr(turns, "DEFERRED_BUDGET_S", 0.0)
+
+
 async def count_most_per_turn(dispatcher: InProcessDispatcher, count: Callable[[], int], total: int) -> int:
     """The largest increase of a count in one turn of the loop, until it has reached a total."""
     most = former = 0
@@ -419,10 +404,9 @@
     run_with_dispatcher(test)
 
 
+@pytest.mark.usefixtures("one_step_a_turn")
 def test_what_many_connections_send_at_once_is_spread_over_turns(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against a turn as long as there are connections, and against one that is never continued.
-    monkeypatch.setattr(turns, "READ_BUDGET_S", 0.0)
-    monkeypatch.setattr(turns, "DEFERRED_BUDGET_S", 0.0)
 
     async def test(dispatcher: InProcessDispatcher) -> None:
         answered: list[int] = []
@@ -454,11 +438,9 @@
 
 @pytest.mark.parametrize("has_had_a_response", [False, True])
 def test_a_request_is_read_before_the_rest_of_those_that_cost_more(
-    monkeypatch: pytest.MonkeyPatch, has_had_a_response: bool
+    one_step_a_turn: None, has_had_a_response: bool
 ) -> None:
     # Guards against ordinary clients that wait until each connection of a flood is parsed.
-    monkeypatch.setattr(turns, "READ_BUDGET_S", 0.0)
-    monkeypatch.setattr(turns, "DEFERRED_BUDGET_S", 0.0)
     handler = RecordingHandler()
     acceptor = Acceptor(handler, max_connections=100)
 
@@ -481,6 +463,26 @@
     asyncio.run(test())
 
 
+def test_a_new_connection_is_read_beside_a_known_one_that_never_stops_sending(
+    one_step_a_turn: None,
+) -> None:
+    # Guards call-backs on new connections: small requests at full speed must not always come first.
+    handler = RecordingHandler()
+    acceptor = Acceptor(handler, max_connections=100)
+
+    async def test() -> None:
+        flood, client = FakeTransport(acceptor()), FakeTransport(acceptor())
+        flood.protocol.data_received(SMALL_REQUEST)
+        receive(acceptor, flood, SMALL_REQUEST * 800)
+        receive(acceptor, client, SMALL_REQUEST.replace(b"/x", b"/new"))
+        async with asyncio.timeout(20.0):
+            while handler.requests[-1].target != b"/new":
+                await asyncio.sleep(0)
+        assert len(handler.requests) <= 3 * MAX_REQUESTS_AT_ONCE
+
+    asyncio.run(test())
+
+
 def test_a_connection_that_keeps_sending_malformed_jobs_is_ended() -> None:
     # Guards against a client that is answered 400 at full speed for as long as it likes.
     async def test(dispatcher: InProcessDispatcher) -> None:
