--- a/grebestack/program/client_listener.py
+++ b/grebestack/program/client_listener.py
@@ -53,6 +53,11 @@
     return ConnectionLimits(clients, max(_MIN_WORKER_CONNECTIONS_IN_RESTART, workers))
 
 
+def duplicate_socket(descriptor: int) -> socket.socket:
+    """Return a socket of its own for a descriptor, which stays open."""
+    return socket.socket(fileno=os.dup(descriptor))
+
+
 class ClientListener:
     """Listens for clients, on the configured address or on the socket that the platform passes in."""
 
@@ -78,16 +83,20 @@
             sock = self._inherited_socket(self.inherited_fd)
             first = await self.loop.create_server(self.acceptor, sock=sock, backlog=BACKLOG)
         self.servers.append(first)
-        for _ in range(LISTENING_HANDLES - 1):
-            sock = socket.socket(fileno=os.dup(first.sockets[0].fileno()))
-            self.servers.append(await self.loop.create_server(self.acceptor, sock=sock, backlog=BACKLOG))
+        try:
+            for _ in range(LISTENING_HANDLES - 1):
+                sock = duplicate_socket(first.sockets[0].fileno())
+                self.servers.append(await self.loop.create_server(self.acceptor, sock=sock, backlog=BACKLOG))
+        except OSError as error:  # it accepts more slowly
+            fields = {"handles": len(self.servers), "why": str(error)}
+            log.warning("few_listening_handles", extra={"kv": fields})
         address = ":".join(map(str, self.address))
         log.info("listening", extra={"kv": {"name": self.name, "address": address}})
 
     @staticmethod
     def _inherited_socket(descriptor: int) -> socket.socket:
         try:
-            return socket.socket(fileno=os.dup(descriptor))
+            return duplicate_socket(descriptor)
         except OSError as error:
             raise StartError(f"RELAY_LISTEN_FD: {descriptor} is no open socket") from error
 
--- a/grebestack/transport/server.py
+++ b/grebestack/transport/server.py
@@ -13,14 +13,12 @@
 from grebestack.transport.interfaces import ConnectionOwner
 from grebestack.transport.peer_state import has_peer_closed
 from grebestack.transport.request_parser import RequestParser
-from grebestack.transport.turns import ReadPriority
+from grebestack.transport.turns import MAX_STEP_BYTES, READ_COST_BYTES, ReadPriority
 
 log = logging.getLogger(__name__)
 READ_BUFFER_BYTES = 16 * 1024
 PARSED_AT_ONCE_BYTES = 1024
 MAX_REQUESTS_PER_TURN = 16  # of the event loop, for one connection
-MAX_STEP_BYTES = 2 * 1024  # of a request, before others that have cost less get their turn
-READ_COST_BYTES = 256  # a read costs as much time as so many bytes
 MAX_PIPELINED_REQUESTS = 2  # requests that a client may send before the response to an earlier one
 MAX_MALFORMED_REQUESTS = 8  # of one connection
 MIN_COUNTED_RESPONSE_BYTES = 1024  # the sockets' own buffers hold smaller ones
@@ -236,8 +234,7 @@
 
     def count_unread_bytes(self) -> int:
         """Count anew what the client has not read of its responses, and return it."""
-        transport = self.transport
-        self.unread_bytes = 0 if transport is None else transport.get_write_buffer_size()
+        self.unread_bytes = self.transport.get_write_buffer_size() if self.transport else 0
         self._count_held_bytes()
         return self.unread_bytes
 
@@ -279,14 +276,14 @@
         """Note that the handler can't use the current request; after some of them the connection ends."""
         self.malformed_requests += 1
         if self.malformed_requests >= MAX_MALFORMED_REQUESTS:
-            self._end_with_next_response(EndReason.MALFORMED_JOBS)
+            self.close(EndReason.MALFORMED_JOBS)
 
     def _refuse(self, reason: EndReason, status: int | None = None) -> None:
         self._count_held_bytes()
         self.refusal_status = status or REFUSAL_STATUS[reason]
         self.end_reason = self.end_reason or reason
-        request = self.queued[0] if self.queued else self.parser.request
-        call_id = request.headers.get(b"x-call-id", b"")
+        headers = (self.queued[0] if self.queued else self.parser.request).headers
+        call_id = headers.get(b"x-call-id", b"")
         self.acceptor.on_refused(reason, self.refusal_status, call_id, self.held_bytes - self.current_bytes)
         self._refuse_now()
 
@@ -354,13 +351,9 @@
             self.end_reason = self.end_reason or reason
             self.transport.abort()
 
-    def _end_with_next_response(self, reason: EndReason) -> None:
-        self.closing = True
-        self.end_reason = self.end_reason or reason
-
     def close(self, reason: EndReason = EndReason.IDLE_CLOSED) -> None:
         """Close the connection now if it is idle, else after the response."""
-        self._end_with_next_response(reason)
+        self.closing, self.end_reason = True, self.end_reason or reason
         if not self.busy:
             self._close_now()
 
--- a/grebestack/transport/turns.py
+++ b/grebestack/transport/turns.py
@@ -10,6 +10,8 @@
 
 READ_BUDGET_S = 0.001  # for what arrives in a turn; what is left of it waits for a later one
 DEFERRED_BUDGET_S = 0.001  # for what waits, in each turn
+MAX_STEP_BYTES = 2 * 1024  # of a request, before others that have cost less get their turn
+READ_COST_BYTES = 256  # a read costs as much time as so many bytes
 COSTLY_TURN_INTERVAL = 4  # turns; in each such one a costly connection goes first, so that none starves
 
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import gc
 import socket
 import time
@@ -436,6 +437,27 @@
     connection_of(transport).buffer_updated(len(data))
 
 
+def test_a_listener_that_gets_only_one_handle_accepts(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards the start: further handles are a matter of speed, and a call for one may fail.
+    def fail(descriptor: int) -> socket.socket:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr("grebestack.program.client_listener.duplicate_socket", fail)
+    acceptor = Acceptor(RecordingHandler(), max_connections=8)
+    config = Config("n0", ("127.0.0.1", reserved_port()), ("", 0), {}, settings())
+
+    async def test() -> None:
+        listener = ClientListener(asyncio.get_running_loop(), config, acceptor)
+        await listener.open()
+        with socket.create_connection(config.listen, 20.0):
+            async with asyncio.timeout(20.0):
+                while not acceptor.connections:
+                    await asyncio.sleep(0)
+        listener.close()
+
+    uvloop.run(test())
+
+
 @pytest.mark.parametrize("has_had_a_response", [False, True])
 def test_a_request_is_read_before_the_rest_of_those_that_cost_more(
     one_step_a_turn: None, has_had_a_response: bool
